Pass rows on between nodes compressed, and only the newest version of each

A configuration of 1,040 more routes is 230 KB, and a storm writes up to a dozen a second. The weak nodes have links of 10 Mbit/s: a page with several versions took longer than the 1.2 s of a call between nodes, the call was given up and repeated, and the fallback to the store's feed carried even more. Logs show edge-chilliwack-6 without a new configuration from 28.2 s to 32.1 s while it heard of owners all the time.

Ruled out: a slow relay (the others of the zone had the version within 0.4 s), decoding (0.3 s at most on 0.1 cores), the store's delay.

--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -3,17 +3,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::RngExt;
 use tokio::time::sleep;
 use wagtailmoor_core::{BackEndId, RowVersion};
 use wagtailmoor_ranges::AssignmentTable;
 use wagtailmoor_site::RegistryChange;
-use wagtailmoor_store::{ChangeFeed, FeedError, FeedPage, FeedRow, StoredRow};
+use wagtailmoor_store::{ChangeFeed, FeedError, FeedPage, FeedRow, PackedPage, StoredRow};
 use wagtailmoor_telemetry::Event;
 
 use crate::row_source;
 use crate::site_decoder::{OperatorChange, SiteDecoder};
 use crate::state::Shared;
+use crate::stats::Stats;
 
 /// Table in which the granter stores owners.
 pub(crate) const RANGES_TABLE: &str = "ranges";
@@ -76,7 +78,7 @@
                     drop_missing(&shared, &*decoder, table, &page);
                 }
                 after = Some(page.version);
-                apply(&shared, &*decoder, table, &page);
+                apply(&shared, &*decoder, table, PackedPage::pack(page));
                 sleep(CHANGE_PAUSE).await;
             }
             Err(FeedError::HistoryLost) => {
@@ -130,17 +132,26 @@
 /// Treats rows that a full read does not list as removed.
 fn drop_missing<S: SiteDecoder>(shared: &Shared, decoder: &S, table: &str, listed: &FeedPage) {
     let missing = shared.read().rows.missing(table, listed);
-    apply(shared, decoder, table, &FeedPage { rows: missing, version: listed.version });
+    apply(shared, decoder, table, missing);
 }
 
 /// Takes rows of a table, from the store or from another node.
-pub(crate) fn apply<S: SiteDecoder>(shared: &Shared, decoder: &S, table: &str, page: &FeedPage) {
+pub(crate) fn apply<S: SiteDecoder>(shared: &Shared, decoder: &S, table: &str, page: PackedPage) {
     let newer = shared.write().rows.merge(table, page);
-    for row in &newer {
-        match table {
-            _ if table == S::OPERATOR_TABLE => apply_operator(shared, decoder, row),
-            _ if table == S::TARGET_TABLE => apply_target(shared, decoder, row),
-            _ => apply_ranges(shared, row),
+    for packed in &newer {
+        match packed.unpack() {
+            Ok(row) if table == S::OPERATOR_TABLE => apply_operator(shared, decoder, &row),
+            Ok(row) if table == S::TARGET_TABLE => apply_target(shared, decoder, &row),
+            Ok(row) => apply_ranges(shared, &row),
+            Err(error) => {
+                let mut state = shared.write();
+                note_unusable_row(
+                    &mut state.stats,
+                    &packed.key,
+                    packed.version,
+                    &error.to_string(),
+                );
+            }
         }
     }
     if !newer.is_empty() {
@@ -157,7 +168,11 @@
             let known = state.config.as_ref().map(|config| config.version());
             if known.is_none_or(|known| known < version) {
                 state.config = Some(*config);
-                Event::new("config").field("version", version).optional("before", known).info();
+                Event::new("config")
+                    .field("version", version)
+                    .optional("before", known)
+                    .field("bytes", row.content.as_ref().map_or(0, Bytes::len))
+                    .info();
             }
         }
         Ok(OperatorChange::ZoneOut(zone)) => {
@@ -226,11 +241,15 @@
     }
 }
 
-fn note_unusable(stats: &mut crate::stats::Stats, row: &FeedRow, cause: &str) {
+fn note_unusable(stats: &mut Stats, row: &FeedRow, cause: &str) {
+    note_unusable_row(stats, &row.key, row.version, cause);
+}
+
+fn note_unusable_row(stats: &mut Stats, key: &str, version: RowVersion, cause: &str) {
     stats.count("row-unusable");
     Event::new("row-unusable")
-        .field("key", &row.key)
-        .field("row_version", row.version)
+        .field("key", key)
+        .field("row_version", version)
         .field("cause", cause)
         .warn();
 }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -8,7 +8,7 @@
 use wagtailmoor_core::{BackEndId, NodeId, RowVersion, ShardKey, ZoneId};
 use wagtailmoor_derive::value;
 use wagtailmoor_dispatch::SuspectReport;
-use wagtailmoor_store::FeedPage;
+use wagtailmoor_store::PackedPage;
 
 use crate::leader_lease::LeaderRow;
 
@@ -82,9 +82,9 @@
 /// Rows that a node lacks.
 #[value]
 pub(crate) struct MissedRows {
-    pub(crate) operators: FeedPage,
-    pub(crate) targets: FeedPage,
-    pub(crate) ranges: FeedPage,
+    pub(crate) operators: PackedPage,
+    pub(crate) targets: PackedPage,
+    pub(crate) ranges: PackedPage,
     /// The leader as the answering node knows it.
     pub(crate) leader: Option<LeaderSeen>,
     /// Whether the answering node learns of changes itself.
--- a/crates/router/src/row_cache.rs
+++ b/crates/router/src/row_cache.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use wagtailmoor_core::{RowVersion, SortedVec};
-use wagtailmoor_store::{FeedPage, FeedRow};
+use wagtailmoor_store::{FeedPage, PackedPage, PackedRow};
 
 /// Rows of one table.
 #[derive(Debug, Default)]
 struct CachedTable {
-    rows: SortedVec<Arc<str>, FeedRow>,
+    rows: SortedVec<Arc<str>, PackedRow>,
     version: RowVersion,
 }
 
@@ -19,34 +19,29 @@
 }
 
 impl RowCache {
-    /// Takes rows of a table; returns the newest of each that is newer than what is known.
-    pub(crate) fn merge(&mut self, table: &str, page: &FeedPage) -> Vec<FeedRow> {
+    /// Takes rows of a table; returns those that are newer than what is known.
+    pub(crate) fn merge(&mut self, table: &str, page: PackedPage) -> Vec<PackedRow> {
         let known = self.tables.get_or_insert_with(table.into(), CachedTable::default);
         known.version = known.version.max(page.version);
-        let is_newer = |row: &&FeedRow| {
+        let mut newer = page.rows;
+        newer.retain(|row| {
             known.rows.get(&row.key).is_none_or(|cached| cached.version < row.version)
-        };
-        // A page lists each version of a row; only the last one matters.
-        let mut newest: SortedVec<Arc<str>, FeedRow> = SortedVec::new();
-        for row in page.rows.iter().filter(is_newer) {
-            let last = newest.get_or_insert_with(row.key.clone(), || row.clone());
-            if last.version < row.version {
-                *last = row.clone();
-            }
-        }
-        for (key, row) in newest.iter() {
-            known.rows.insert(key.clone(), row.clone());
+        });
+        for row in &newer {
+            known.rows.insert(row.key.clone(), row.clone());
         }
-        newest.into_iter().map(|(_, row)| row).collect()
+        newer
     }
 
-    /// Returns the names of the rows that are not removed, other than those of a full list.
-    pub(crate) fn missing(&self, table: &str, listed: &FeedPage) -> Vec<FeedRow> {
-        let Some(known) = self.tables.get(table) else { return Vec::new() };
-        let rows = known.rows.values().filter(|row| row.content.is_some());
-        rows.filter(|row| listed.rows.iter().all(|other| other.key != row.key))
-            .map(|row| FeedRow { version: listed.version, content: None, ..row.clone() })
-            .collect()
+    /// Returns the rows that a full list lacks, as removed.
+    pub(crate) fn missing(&self, table: &str, listed: &FeedPage) -> PackedPage {
+        let known = self.tables.get(table).into_iter().flat_map(|known| known.rows.values());
+        let is_listed = |row: &PackedRow| listed.rows.iter().any(|other| other.key == row.key);
+        let rows = known
+            .filter(|row| !row.is_removed() && !is_listed(row))
+            .map(|row| row.removed_at(listed.version))
+            .collect();
+        PackedPage { rows, version: listed.version }
     }
 
     /// Returns the version up to which a table is known.
@@ -62,11 +57,11 @@
     }
 
     /// Returns the rows of a table that changed after a version.
-    pub(crate) fn page(&self, table: &str, after: RowVersion) -> FeedPage {
+    pub(crate) fn page(&self, table: &str, after: RowVersion) -> PackedPage {
         let Some(known) = self.tables.get(table) else {
-            return FeedPage { rows: Vec::new(), version: after };
+            return PackedPage { rows: Vec::new(), version: after };
         };
         let rows = known.rows.values().filter(|row| row.version > after).cloned().collect();
-        FeedPage { rows, version: known.version }
+        PackedPage { rows, version: known.version }
     }
 }
--- a/crates/router/src/row_source.rs
+++ b/crates/router/src/row_source.rs
@@ -161,9 +161,9 @@
 }
 
 fn take<S: SiteDecoder>(shared: &Shared, decoder: &S, missed: MissedRows) {
-    feeds::apply(shared, decoder, S::OPERATOR_TABLE, &missed.operators);
-    feeds::apply(shared, decoder, S::TARGET_TABLE, &missed.targets);
-    feeds::apply(shared, decoder, RANGES_TABLE, &missed.ranges);
+    feeds::apply(shared, decoder, S::OPERATOR_TABLE, missed.operators);
+    feeds::apply(shared, decoder, S::TARGET_TABLE, missed.targets);
+    feeds::apply(shared, decoder, RANGES_TABLE, missed.ranges);
     let now = shared.now();
     let mut state = shared.write();
     if let Some(LeaderSeen { row, version }) = missed.leader {
--- /dev/null
+++ b/crates/store/tests/packed_page.rs
@@ -0,0 +1,79 @@
+//! Rows that nodes pass on to each other: what is sent and what a receiver makes of it.
+
+use std::fmt::Write;
+
+use bytes::Bytes;
+use rstest::rstest;
+use wagtailmoor_core::RowVersion;
+use wagtailmoor_store::{FeedPage, FeedRow, PackedPage, PackedRow};
+
+/// Routes of a large configuration.
+const ROUTES: u32 = 1_400;
+
+/// Versions written while a node waits for a page.
+const VERSIONS: u64 = 12;
+
+/// What the weakest link, 10 Mbit/s, carries in a tenth of a second.
+const PAGE_MAX_BYTES: usize = 125_000;
+
+fn row(key: &str, version: u64, content: impl Into<Bytes>) -> FeedRow {
+    FeedRow { key: key.into(), version: RowVersion::new(version), content: Some(content.into()) }
+}
+
+fn configuration(version: u64) -> String {
+    let mut text = format!("{{\"version\":{version},\"routes\":[");
+    for route in 0..ROUTES {
+        write!(
+            text,
+            "{{\"host\":\"desk.example\",\"prefix\":\"/{:08x}/\",\"service\":\"pumps\",\
+             \"kind\":\"idempotent\",\"timeoutS\":2.5,\"maxAttempts\":2,\"priority\":1}},",
+            route.wrapping_mul(2_654_435_761)
+        )
+        .unwrap();
+    }
+    text
+}
+
+/// Guards against a storm of large configurations that fills the link of a weak node: it then
+/// learns of a route seconds after the others.
+#[test]
+fn storm_of_large_configurations_fits_a_weak_link() {
+    let versions = 1..=VERSIONS;
+    let rows = versions.map(|version| row("config", version, configuration(version))).collect();
+    let page = PackedPage::pack(FeedPage { rows, version: RowVersion::new(VERSIONS) });
+
+    assert_eq!(page.rows.len(), 1);
+    assert_eq!(page.version, RowVersion::new(VERSIONS));
+    let sent_bytes: usize = page.rows.iter().map(PackedRow::packed_bytes).sum();
+    assert!(sent_bytes < PAGE_MAX_BYTES, "{sent_bytes} bytes");
+    let last = page.rows[0].unpack().unwrap();
+    assert_eq!(last, row("config", VERSIONS, configuration(VERSIONS)));
+}
+
+/// Guards against content that changes on its way, of any size and kind.
+#[rstest]
+#[case::empty(Vec::new())]
+#[case::short(b"{\"state\":\"ready\"}".to_vec())]
+#[case::repetitive(vec![b'a'; 300_000])]
+#[case::incompressible((0..50_000u32).map(|n| (n.wrapping_mul(2_654_435_761) >> 13) as u8).collect())]
+fn unpacked_row_equals_the_packed_one(#[case] content: Vec<u8>) {
+    let row = row("a", 7, content);
+    assert_eq!(PackedRow::pack(row.clone()).unpack().unwrap(), row);
+}
+
+/// Guards against a removed row that comes back with content.
+#[test]
+fn removed_row_stays_removed() {
+    let packed = PackedRow::pack(row("a", 7, "x")).removed_at(RowVersion::new(9));
+    let removed = FeedRow { key: "a".into(), version: RowVersion::new(9), content: None };
+    assert!(packed.is_removed());
+    assert_eq!(packed.unpack().unwrap(), removed);
+}
+
+/// Guards against a small message that makes its receiver use memory without bound.
+#[test]
+fn content_that_unpacks_beyond_all_rows_is_refused() {
+    let packed = PackedRow::pack(row("a", 7, vec![0; 17 * 1024 * 1024]));
+    assert!(packed.packed_bytes() < 1024 * 1024);
+    assert!(packed.unpack().is_err());
+}
