--- a/bins/wagtailmoor/src/arguments.rs
+++ b/bins/wagtailmoor/src/arguments.rs
@@ -34,6 +34,19 @@
     Target(TargetId),
 }
 
+/// What is shown of router processes.
+#[derive(Clone, Debug)]
+pub(crate) enum RouterView {
+    /// Each process: version in force, age of its knowledge, leader.
+    Nodes,
+    /// Owners of keys, of all back ends or of one.
+    Ranges { back_end: Option<BackEndId> },
+    /// Customers with their limits and requests.
+    Customers,
+    /// Targets with their states.
+    Targets,
+}
+
 /// What to do.
 #[derive(Clone, Debug)]
 pub(crate) enum Command {
@@ -80,6 +93,7 @@
         back_end: BackEndId,
         key: String,
     },
+    Router(RouterView),
 }
 
 /// All arguments.
@@ -123,7 +137,10 @@
         .argument::<SocketAddr>("IP:PORT")
         .fallback(SocketAddr::from(([127, 0, 0, 1], 7_000)));
     let nodes = long("node")
-        .help("control address of an entry process; may be repeated")
+        .help(
+            "control address of an entry process, or metrics address of a router process; may be \
+             repeated",
+        )
         .argument::<SocketAddr>("IP:PORT")
         .many();
     let author = long("author")
@@ -159,7 +176,37 @@
     let diff = diff.to_options().descr("Shows what apply would change.").command("diff");
     let edits = edit_commands();
     let views = view_commands();
-    construct!([check, diff, edits, views])
+    let router = router_view()
+        .map(Command::Router)
+        .to_options()
+        .descr("Shows router processes, which --node names by their metrics addresses.")
+        .command("router");
+    construct!([check, diff, edits, views, router])
+}
+
+fn router_view() -> impl Parser<RouterView> {
+    let nodes = bpaf::pure(RouterView::Nodes)
+        .to_options()
+        .descr("Shows versions in force, the age of what each process knows, and the leader.")
+        .command("nodes");
+    let back_end = long("back-end")
+        .help("back end to show; all by default")
+        .argument::<BackEndId>("BACK-END")
+        .optional();
+    let ranges = back_end
+        .map(|back_end| RouterView::Ranges { back_end })
+        .to_options()
+        .descr("Shows who owns which keys.")
+        .command("ranges");
+    let customers = bpaf::pure(RouterView::Customers)
+        .to_options()
+        .descr("Shows customers with their limits and requests, over the named processes.")
+        .command("customers");
+    let targets = bpaf::pure(RouterView::Targets)
+        .to_options()
+        .descr("Shows targets with their states.")
+        .command("targets");
+    construct!([nodes, ranges, customers, targets])
 }
 
 fn edit_commands() -> impl Parser<Command> {
--- a/bins/wagtailmoor/src/failure.rs
+++ b/bins/wagtailmoor/src/failure.rs
@@ -40,6 +40,8 @@
     NotInForce { version: ConfigVersion, in_force: usize, total: usize },
     #[snafu(display("no entry process answered"))]
     NoNode,
+    #[snafu(display("no router process answered; {causes}"))]
+    NoRouter { causes: String },
 }
 
 impl Failure {
--- a/bins/wagtailmoor/src/main.rs
+++ b/bins/wagtailmoor/src/main.rs
@@ -6,6 +6,7 @@
 mod failure;
 mod inspect;
 mod output;
+mod routers;
 mod secret;
 
 use std::process::ExitCode;
@@ -52,6 +53,7 @@
         Command::History { limit } => inspect::history(site, output, *limit).await,
         Command::Show => inspect::show(site, output).await,
         Command::Status { wait_s } => inspect::status(site, output, *wait_s).await,
+        Command::Router(view) => routers::show(site, output, view).await,
         Command::Owners { back_end, key } => inspect::owners(site, output, back_end, key).await,
     }
 }
--- a/crates/router/src/ready_page.rs
+++ b/crates/router/src/ready_page.rs
@@ -16,6 +16,7 @@
 use wagtailmoor_telemetry::Event;
 
 use crate::metrics_page;
+use crate::node_status::NodeStatus;
 use crate::state::Shared;
 
 /// Time in which a question must arrive on an open connection.
@@ -24,12 +25,15 @@
 /// Pause after a failed accept, which most likely ran out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Path of the status on the metrics address.
+const STATUS_PATH: &str = "/status";
+
 /// What an address serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Page {
     /// 200 while this node takes clients.
     Ready,
-    /// Counters and histograms.
+    /// Counters and histograms, and the status for operators.
     Metrics,
 }
 
@@ -66,11 +70,18 @@
     }
 }
 
+fn status_text(shared: &Shared) -> String {
+    let status = NodeStatus::of(shared);
+    serde_json::to_string(&status).expect("a status is representable in JSON")
+}
+
 fn answer(shared: &Shared, request: &Request<Incoming>, page: Page) -> Response<Full<Bytes>> {
     let state = shared.read();
-    let known = page == Page::Metrics || request.uri().path() == shared.settings.ready_path;
+    let path = request.uri().path();
+    let known = page == Page::Metrics || path == shared.settings.ready_path;
     let (status, body) = match page {
         _ if !known => (StatusCode::NOT_FOUND, String::new()),
+        Page::Metrics if path == STATUS_PATH => (StatusCode::OK, status_text(shared)),
         Page::Ready if state.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
         Page::Ready => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         Page::Metrics => (StatusCode::OK, metrics_page::render(&state)),
--- a/crates/router/src/stats.rs
+++ b/crates/router/src/stats.rs
@@ -26,6 +26,14 @@
     pub(crate) total: Duration,
 }
 
+/// How the requests of a customer ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct CustomerCounts {
+    pub(crate) answered: u64,
+    pub(crate) refused_by_limit: u64,
+    pub(crate) not_answered: u64,
+}
+
 /// Counters and latencies of a node.
 #[derive(Debug, Default)]
 pub(crate) struct Stats {
@@ -54,6 +62,20 @@
         self.requests.iter()
     }
 
+    /// Returns how the requests of a customer ended.
+    pub(crate) fn customer(&self, customer: &CustomerId) -> CustomerCounts {
+        let mut sum = CustomerCounts::default();
+        let own = |labels: &RequestLabels| labels.customer.as_ref() == Some(customer);
+        for (labels, counts) in self.requests.iter().filter(|(labels, _)| own(labels)) {
+            match (&labels.outcome, labels.reason) {
+                (Outcome::Answered, _) => sum.answered += counts.requests,
+                (_, Some(Reason::RateExceeded)) => sum.refused_by_limit += counts.requests,
+                _ => sum.not_answered += counts.requests,
+            }
+        }
+        sum
+    }
+
     /// Iterates over the counters.
     pub(crate) fn counters(&self) -> impl Iterator<Item = (&&'static str, &u64)> {
         self.counters.iter()
--- a/crates/site/src/target.rs
+++ b/crates/site/src/target.rs
@@ -1,5 +1,6 @@
 //! A target as it registered itself.
 
+use std::fmt::{Display, Formatter, Result as FmtResult};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,15 @@
     Draining,
 }
 
+impl Display for TargetState {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> FmtResult {
+        formatter.write_str(match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+        })
+    }
+}
+
 /// A target as it registered itself.
 #[value]
 pub struct Target {
