--- a/bins/burn/src/arguments.rs
+++ b/bins/burn/src/arguments.rs
@@ -5,15 +5,7 @@
 use std::time::Duration;
 
 use bpaf::{OptionParser, Parser, construct, long};
-
-/// Form of what is printed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Format {
-    /// Text for people.
-    Text,
-    /// One JSON document.
-    Json,
-}
+use wagtailmoor_arguments::OutputFormat;
 
 /// Where metrics are received and for how long.
 #[derive(Clone, Debug)]
@@ -38,7 +30,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Arguments {
     pub(crate) site: PathBuf,
-    pub(crate) format: Format,
+    pub(crate) format: OutputFormat,
     pub(crate) html: Option<PathBuf>,
     pub(crate) action: Action,
 }
@@ -47,7 +39,7 @@
     let site = long("site")
         .help("YAML file with the templates and customers of the site")
         .argument::<PathBuf>("FILE");
-    let format = format();
+    let format = OutputFormat::argument();
     let html = long("html")
         .help("also write the report as an HTML page with plots")
         .argument::<PathBuf>("FILE")
@@ -62,18 +54,6 @@
         )
 }
 
-fn format() -> impl Parser<Format> {
-    long("format")
-        .help("text or json")
-        .argument::<String>("FORMAT")
-        .parse(|text| match text.as_str() {
-            "text" => Ok(Format::Text),
-            "json" => Ok(Format::Json),
-            _ => Err("expected text or json"),
-        })
-        .fallback(Format::Text)
-}
-
 fn action() -> impl Parser<Action> {
     let check = long("check").help("check the site file and exit").req_flag(Action::Check);
     let read = long("read")
--- a/bins/burn/src/main.rs
+++ b/bins/burn/src/main.rs
@@ -13,9 +13,10 @@
 use snafu::ResultExt;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
+use wagtailmoor_arguments::OutputFormat;
 use wagtailmoor_burn::{Report, Severity, Tally, UnixMillis, report_page, report_table};
 
-use crate::arguments::{Action, Arguments, Format, arguments};
+use crate::arguments::{Action, Arguments, arguments};
 use crate::failure::{Failure, FileSnafu, SocketSnafu};
 
 const EXIT_FAILURE: u8 = 1;
@@ -85,27 +86,27 @@
     Ok(report.severity())
 }
 
-fn print_report(format: Format, report: &Report) {
+fn print_report(format: OutputFormat, report: &Report) {
     match format {
-        Format::Text => println!("{}", report_table(report)),
-        Format::Json => println!(
+        OutputFormat::Text => println!("{}", report_table(report)),
+        OutputFormat::Json => println!(
             "{}",
             serde_json::to_string_pretty(report).expect("reports are representable in JSON")
         ),
     }
 }
 
-fn print_valid(format: Format) {
+fn print_valid(format: OutputFormat) {
     match format {
-        Format::Text => println!("valid"),
-        Format::Json => println!("{}", serde_json::json!({"valid": true})),
+        OutputFormat::Text => println!("valid"),
+        OutputFormat::Json => println!("{}", serde_json::json!({"valid": true})),
     }
 }
 
-fn print_failure(format: Format, failure: &Failure) {
+fn print_failure(format: OutputFormat, failure: &Failure) {
     match format {
-        Format::Text => eprintln!("error: {failure}"),
-        Format::Json => eprintln!(
+        OutputFormat::Text => eprintln!("error: {failure}"),
+        OutputFormat::Json => eprintln!(
             "{}",
             serde_json::json!({"error": failure.to_string(), "exit_code": EXIT_FAILURE})
         ),
--- a/bins/demo/src/main.rs
+++ b/bins/demo/src/main.rs
@@ -6,8 +6,6 @@
 
 use std::process::ExitCode;
 
-use tokio::runtime::Builder;
-use tokio::task::LocalSet;
 use wagtailmoor_telemetry::init_logging;
 
 use crate::arguments::{Arguments, arguments};
@@ -19,9 +17,7 @@
         Err(exit_code) => return exit_code,
     };
     init_logging();
-    let runtime = Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.expect("a current-thread runtime needs only a working kernel");
-    match LocalSet::new().block_on(&runtime, run(arguments)) {
+    match wagtailmoor_arguments::run_event_loop(run(arguments)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
--- a/bins/entry/src/main.rs
+++ b/bins/entry/src/main.rs
@@ -4,9 +4,7 @@
 
 use std::process::ExitCode;
 
-use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::LocalSet;
 use wagtailmoor_settings::{EntrySettings, SettingsError, load};
 use wagtailmoor_telemetry::init_logging;
 
@@ -26,9 +24,7 @@
         println!("valid");
         return ExitCode::SUCCESS;
     }
-    let runtime = Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.expect("a current-thread runtime needs only a working kernel");
-    LocalSet::new().block_on(&runtime, run(settings))
+    wagtailmoor_arguments::run_event_loop(run(settings))
 }
 
 fn read_settings(arguments: &Arguments) -> Result<EntrySettings, SettingsError> {
--- a/bins/wagtailmoor/src/arguments.rs
+++ b/bins/wagtailmoor/src/arguments.rs
@@ -4,17 +4,9 @@
 use std::path::PathBuf;
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
+use wagtailmoor_arguments::OutputFormat;
 use wagtailmoor_core::{BackEndId, CustomerId, CustomerKeyId, HostId, TargetId, ZoneId};
 
-/// Form of what is printed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Format {
-    /// Text for people.
-    Text,
-    /// One JSON document.
-    Json,
-}
-
 /// Where the site is.
 #[derive(Clone, Debug)]
 pub(crate) struct Site {
@@ -99,13 +91,13 @@
 /// All arguments.
 #[derive(Clone, Debug)]
 pub(crate) struct Arguments {
-    pub(crate) format: Format,
+    pub(crate) format: OutputFormat,
     pub(crate) site: Site,
     pub(crate) command: Command,
 }
 
 pub(crate) fn arguments() -> OptionParser<Arguments> {
-    let format = format();
+    let format = OutputFormat::argument();
     let site = site();
     let command = command();
     construct!(Arguments { format, site, command })
@@ -118,18 +110,6 @@
         )
 }
 
-fn format() -> impl Parser<Format> {
-    long("format")
-        .help("text or json")
-        .argument::<String>("FORMAT")
-        .parse(|text| match text.as_str() {
-            "text" => Ok(Format::Text),
-            "json" => Ok(Format::Json),
-            _ => Err("expected text or json"),
-        })
-        .fallback(Format::Text)
-}
-
 fn site() -> impl Parser<Site> {
     let platform = long("platform")
         .env("WAGTAILMOOR_PLATFORM")
--- a/bins/wagtailmoor/src/main.rs
+++ b/bins/wagtailmoor/src/main.rs
@@ -11,9 +11,6 @@
 
 use std::process::ExitCode;
 
-use tokio::runtime::Builder;
-use tokio::task::LocalSet;
-
 use crate::arguments::{Arguments, Command, arguments};
 use crate::failure::Failure;
 use crate::output::Output;
@@ -24,9 +21,7 @@
         Err(exit_code) => return exit_code,
     };
     let output = Output::new(arguments.format);
-    let runtime = Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.expect("a current-thread runtime needs only a working kernel");
-    match LocalSet::new().block_on(&runtime, run(&arguments, &output)) {
+    match wagtailmoor_arguments::run_event_loop(run(&arguments, &output)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
             output.failure(&failure);
--- a/bins/wagtailmoor/src/output.rs
+++ b/bins/wagtailmoor/src/output.rs
@@ -1,40 +1,40 @@
 //! What is printed.
 
 use serde::Serialize;
+use wagtailmoor_arguments::OutputFormat;
 
-use crate::arguments::Format;
 use crate::failure::Failure;
 
 /// The output of a command in the chosen form.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Output {
-    format: Format,
+    format: OutputFormat,
 }
 
 impl Output {
-    pub(crate) fn new(format: Format) -> Self {
+    pub(crate) fn new(format: OutputFormat) -> Self {
         Self { format }
     }
 
     /// Prints a result: JSON as it is, text through the given function.
     pub(crate) fn print<T: Serialize>(&self, result: &T, text: impl FnOnce(&T) -> String) {
         match self.format {
-            Format::Json => println!(
+            OutputFormat::Json => println!(
                 "{}",
                 serde_json::to_string_pretty(result).expect("results are representable in JSON")
             ),
-            Format::Text => println!("{}", text(result)),
+            OutputFormat::Text => println!("{}", text(result)),
         }
     }
 
     /// Prints a failure on standard error.
     pub(crate) fn failure(&self, failure: &Failure) {
         match self.format {
-            Format::Json => eprintln!(
+            OutputFormat::Json => eprintln!(
                 "{}",
                 serde_json::json!({"error": failure.to_string(), "exit_code": failure.exit_code()})
             ),
-            Format::Text => eprintln!("error: {failure}"),
+            OutputFormat::Text => eprintln!("error: {failure}"),
         }
     }
 }
--- a/crates/arguments/src/lib.rs
+++ b/crates/arguments/src/lib.rs
@@ -1,9 +1,15 @@
-//! Command lines of the binaries: one exit code for wrong usage.
+//! What the binaries have in common: command lines, one exit code for wrong usage, the event loop.
+
+mod event_loop;
+mod output_format;
 
 use std::process::ExitCode;
 
 use bpaf::{Args, OptionParser};
 
+pub use event_loop::run_event_loop;
+pub use output_format::OutputFormat;
+
 /// Exit code of a wrong command line. `bpaf` uses 1, which stands for a failure here.
 pub const EXIT_USAGE: u8 = 2;
 
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -83,12 +83,7 @@
         path: &str,
         body: &[u8],
     ) -> Result<Fingerprint, Refusal> {
-        let customer = call.customer.as_ref();
-        let fingerprint = Fingerprint::of(Fingerprint::SITE_SEED, customer, method, path, body);
-        match self.entry.state().ledger.refuses(self.now(), fingerprint) {
-            true => Err(Refusal::crashes_targets()),
-            false => Ok(fingerprint),
-        }
+        call.fingerprint(self.now(), &self.entry.state().ledger, method, path, body)
     }
 
     async fn admit(&self, call: &Call) -> Result<Option<Credit>, Refusal> {
--- a/crates/front/src/gateway.rs
+++ b/crates/front/src/gateway.rs
@@ -10,7 +10,7 @@
     TemplateId, Weight,
 };
 use wagtailmoor_dispatch::{
-    AttemptId, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
+    AttemptId, CrashLedger, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
 };
 
 use crate::Refusal;
@@ -75,6 +75,29 @@
     pub hedge_after: Option<Duration>,
 }
 
+impl Call {
+    /// Returns the fingerprint of a request, or a refusal if such requests crash targets.
+    ///
+    /// # Errors
+    ///
+    /// The refusal.
+    pub fn fingerprint(
+        &self,
+        now: Instant,
+        ledger: &CrashLedger,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> Result<Fingerprint, Refusal> {
+        let customer = self.customer.as_ref();
+        let fingerprint = Fingerprint::of(Fingerprint::SITE_SEED, customer, method, path, body);
+        match ledger.refuses(now, fingerprint) {
+            true => Err(Refusal::crashes_targets()),
+            false => Ok(fingerprint),
+        }
+    }
+}
+
 /// A target assigned to an attempt.
 #[derive(Debug)]
 pub struct Assigned<G> {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -3,11 +3,10 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use snafu::Snafu;
 use tarpc::client::{Config, RpcError};
-use tarpc::context::{self, Context};
 use tarpc::serde_transport::tcp;
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::time::timeout;
@@ -17,6 +16,7 @@
 use wagtailmoor_limits::{CreditReply, CreditRequest, PermitReply, PermitRequest};
 use wagtailmoor_membership::Digest;
 use wagtailmoor_ownership::RoutePull;
+use wagtailmoor_rpc::deadline;
 
 use crate::service::PeerClient as Stub;
 use crate::{HeatReport, NodeState, OwnerReport, RouteReply, Unavailable};
@@ -86,12 +86,6 @@
     owner(back_end: BackEndId, key: KeyHash) -> OwnerReport, BULK_TIMEOUT;
 }
 
-fn deadline(span: Duration) -> Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + span;
-    context
-}
-
 impl PeerClient {
     /// Creates a client without connections.
     pub fn new() -> Self {
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -3,13 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 
-use futures_util::{StreamExt, future};
 use tarpc::context::Context;
-use tarpc::serde_transport::tcp;
-use tarpc::server::{BaseChannel, Channel};
-use tarpc::tokio_serde::formats::Bincode;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::spawn_local;
 use wagtailmoor_configuration::{ChangeRecord, Snapshot};
 use wagtailmoor_core::{BackEndId, ConfigVersion, KeyHash, ZoneId};
 use wagtailmoor_lease::{PromiseReply, PromiseRequest, ZoneReply, ZoneRequest};
@@ -85,25 +80,8 @@
     address: SocketAddr,
     calls: mpsc::UnboundedSender<PeerCall>,
 ) -> io::Result<SocketAddr> {
-    let mut incoming = tcp::listen(address, Bincode::default).await?;
-    incoming.config_mut().max_frame_length(FRAME_MAX_BYTES);
-    let bound = incoming.local_addr();
-    spawn_local(async move {
-        let accepted = incoming.filter_map(|transport| future::ready(transport.ok()));
-        let mut accepted = std::pin::pin!(accepted);
-        loop {
-            let transport = tokio::select! {
-                () = calls.closed() => return,
-                next = accepted.next() => next,
-            };
-            let Some(transport) = transport else { return };
-            let server = PeerServer { calls: calls.clone() };
-            let channel = BaseChannel::with_defaults(transport);
-            spawn_local(channel.execute(server.serve()).for_each(|response| {
-                spawn_local(response);
-                future::ready(())
-            }));
-        }
-    });
-    Ok(bound)
+    let closed = calls.clone();
+    let server = PeerServer { calls }.serve();
+    wagtailmoor_rpc::listen(address, FRAME_MAX_BYTES, server, async move { closed.closed().await })
+        .await
 }
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -171,12 +171,7 @@
         path: &str,
         body: &[u8],
     ) -> Result<Fingerprint, Refusal> {
-        let customer = call.customer.as_ref();
-        let fingerprint = Fingerprint::of(Fingerprint::SITE_SEED, customer, method, path, body);
-        match self.shared.read().ledger.refuses(self.now(), fingerprint) {
-            true => Err(Refusal::crashes_targets()),
-            false => Ok(fingerprint),
-        }
+        call.fingerprint(self.now(), &self.shared.read().ledger, method, path, body)
     }
 
     async fn admit(&self, call: &Call) -> Result<CreditGuard, Refusal> {
--- a/crates/router/src/peer_link.rs
+++ b/crates/router/src/peer_link.rs
@@ -4,18 +4,16 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use futures_util::{StreamExt, future};
 use tarpc::client::Config;
-use tarpc::context::{self, Context};
+use tarpc::context::Context;
 use tarpc::serde_transport::tcp;
-use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::spawn_local;
 use tokio::time::timeout;
 use wagtailmoor_core::SortedVec;
+use wagtailmoor_rpc::deadline;
 
 use crate::peer_service::{
     KnownRows, LeaderReply, MissedRows, NodeReport, RouterPeer, RouterPeerClient, Stopping,
@@ -60,25 +58,10 @@
     address: SocketAddr,
     calls: mpsc::UnboundedSender<PeerCall>,
 ) -> io::Result<()> {
-    let mut incoming = tcp::listen(address, Bincode::default).await?;
-    incoming.config_mut().max_frame_length(FRAME_MAX_BYTES);
-    spawn_local(async move {
-        let accepted = incoming.filter_map(|transport| future::ready(transport.ok()));
-        let mut accepted = std::pin::pin!(accepted);
-        loop {
-            let transport = tokio::select! {
-                () = calls.closed() => return,
-                next = accepted.next() => next,
-            };
-            let Some(transport) = transport else { return };
-            let server = PeerServer { calls: calls.clone() };
-            let channel = BaseChannel::with_defaults(transport);
-            spawn_local(channel.execute(server.serve()).for_each(|response| {
-                spawn_local(response);
-                future::ready(())
-            }));
-        }
-    });
+    let closed = calls.clone();
+    let server = PeerServer { calls }.serve();
+    let stopped = async move { closed.closed().await };
+    wagtailmoor_rpc::listen(address, FRAME_MAX_BYTES, server, stopped).await?;
     Ok(())
 }
 
@@ -128,9 +111,3 @@
         result
     }
 }
-
-fn deadline(span: Duration) -> Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + span;
-    context
-}
