Take the lead at once only on the word of the present row, and renew only the own row

Change: the word of a leader counts for the version of the row that it knew; the row says for how long an earlier leader may still act, whoever replaces it; a leader renews only the version that it wrote, and steps down when it sees another's row.

Ruled out: the store (conditions held), clocks.

--- a/crates/router/src/leader_lease.rs
+++ b/crates/router/src/leader_lease.rs
@@ -45,6 +45,10 @@
     /// restart at once divide customers' limits by it.
     #[serde(default)]
     pub nodes: u32,
+    /// Time after the write of this row for which an earlier leader may still act, in milliseconds.
+    /// Whoever replaces the row waits as long, also if this leader never acted.
+    #[serde(default)]
+    pub sole_in_ms: u64,
 }
 
 /// What the lease asks for.
@@ -69,14 +73,16 @@
 #[derive(Debug)]
 pub struct LeaderLease {
     own: LeaderRow,
+    /// Version of the row as this process wrote it last.
+    own_version: RowVersion,
     seen: Option<(LeaderRow, RowVersion)>,
     seen_changed: Instant,
     last_read: Option<Instant>,
     in_flight: bool,
     write_sent: Instant,
     renewed: Instant,
-    /// The leader that said itself that it does not act any more.
-    lapsed: Option<(NodeId, Incarnation)>,
+    /// Version of the row under which its leader said itself that it does not act.
+    lapsed: Option<RowVersion>,
     authority: Authority,
     leads: bool,
 }
@@ -92,9 +98,11 @@
             renewals: 0,
             resigned: false,
             nodes: 0,
+            sole_in_ms: 0,
         };
         Self {
             own,
+            own_version: RowVersion::default(),
             seen: None,
             seen_changed: Instant::default(),
             last_read: None,
@@ -122,17 +130,21 @@
         self.leads = false;
     }
 
-    /// Notes that the node which the row names said that it does not act as the leader.
-    pub fn note_lapsed(&mut self, node: &NodeId) {
-        self.lapsed = self
-            .leader()
-            .filter(|row| row.node == *node)
-            .map(|row| (row.node.clone(), row.incarnation));
+    /// Notes that the node which the row names said that it does not act as the leader under the
+    /// version of the row that it knew. It may have taken the lead again with a newer version.
+    pub fn note_lapsed(&mut self, node: &NodeId, version: RowVersion) {
+        if self.leader().is_some_and(|row| row.node == *node) {
+            self.lapsed = Some(version);
+        }
     }
 
     /// Returns whether the leader is known not to act any more.
     pub fn is_vacant(&self) -> bool {
-        self.lapsed.is_some()
+        self.seen.as_ref().is_some_and(|(_, version)| self.is_lapsed(*version))
+    }
+
+    fn is_lapsed(&self, version: RowVersion) -> bool {
+        self.lapsed == Some(version)
     }
 
     /// Returns the leader that the row names, unless it resigned.
@@ -164,7 +176,7 @@
             self.leads = false;
         }
         match self.leads {
-            true if now >= self.write_sent + RENEW_INTERVAL => self.renew(now),
+            true if now >= self.write_sent + RENEW_INTERVAL => Some(self.renew(now)),
             true => None,
             false if leader_answers => None,
             false => self.watch(now),
@@ -185,11 +197,25 @@
             _ => false,
         };
         if newer {
+            self.note_replaced(row.as_ref());
             self.seen = row;
             self.seen_changed = now;
         }
     }
 
+    /// Compares a newer row with the one that this process wrote as the leader. Another leader's row
+    /// must not be overwritten by a renewal.
+    fn note_replaced(&mut self, row: Option<&(LeaderRow, RowVersion)>) {
+        let is_own = |row: &LeaderRow| {
+            (&row.node, row.incarnation, row.generation)
+                == (&self.own.node, self.own.incarnation, self.own.generation)
+        };
+        match row {
+            Some((row, version)) if self.leads && is_own(row) => self.own_version = *version,
+            _ => self.leads = false,
+        }
+    }
+
     /// Notes that the store did not answer.
     pub fn on_failed(&mut self) {
         self.in_flight = false;
@@ -203,16 +229,10 @@
             self.last_read = None;
             return;
         };
-        let previous = self.seen.replace((row.clone(), version)).map(|(row, _)| row);
+        self.seen = Some((row.clone(), version));
+        self.own_version = version;
         if !self.leads {
-            self.authority.sole_from = match previous {
-                // This process replaces an earlier life of its own, or a leader that stopped.
-                Some(last) if last.resigned || last.node == row.node => now,
-                // It could act again only after a write, which would have come before this one.
-                Some(last) if self.lapsed == Some((last.node.clone(), last.incarnation)) => now,
-                Some(_) => now + LEASE + DRIFT_MARGIN,
-                None => now,
-            };
+            self.authority.sole_from = now + Duration::from_millis(row.sole_in_ms);
         }
         self.seen_changed = now;
         self.renewed = self.write_sent;
@@ -228,16 +248,37 @@
             return None;
         }
         self.leads = false;
-        let (_, expected) = self.seen.clone()?;
+        let expected = self.own_version;
         self.write_sent = now;
-        let row = LeaderRow { resigned: true, ..self.own.clone() };
+        let row =
+            LeaderRow { resigned: true, sole_in_ms: self.sole_in_ms(now), ..self.own.clone() };
         Some(LeaseAction::Write { row, expected })
     }
 
-    fn renew(&mut self, now: Instant) -> Option<LeaseAction> {
-        let (_, expected) = self.seen.clone()?;
-        let row = LeaderRow { renewals: self.own.renewals + 1, ..self.own.clone() };
-        Some(self.write(now, row, expected))
+    fn renew(&mut self, now: Instant) -> LeaseAction {
+        let expected = self.own_version;
+        let row = LeaderRow {
+            renewals: self.own.renewals + 1,
+            sole_in_ms: self.sole_in_ms(now),
+            ..self.own.clone()
+        };
+        self.write(now, row, expected)
+    }
+
+    /// Returns for how much longer an earlier leader may act.
+    fn sole_in_ms(&self, now: Instant) -> u64 {
+        millis(self.authority.sole_from.saturating_since(now))
+    }
+
+    /// Returns for how long the leader of a row, or one before it, may act once it is replaced.
+    fn wait_after(&self, row: &LeaderRow, version: RowVersion) -> u64 {
+        // It stopped, was an earlier life of this process, or could act again only after a write,
+        // which would come before the one that replaces this version.
+        let stopped = row.resigned || row.node == self.own.node || self.is_lapsed(version);
+        match stopped {
+            true => row.sole_in_ms,
+            false => row.sole_in_ms.max(millis(LEASE + DRIFT_MARGIN)),
+        }
     }
 
     fn watch(&mut self, now: Instant) -> Option<LeaseAction> {
@@ -249,7 +290,7 @@
                 let (generation, version) = (row.generation, *version);
                 let own_past = row.node == self.own.node && row.incarnation != self.own.incarnation;
                 let abandoned = now.saturating_since(self.seen_changed) >= ABANDONED_AFTER;
-                let lapsed = self.lapsed == Some((row.node.clone(), row.incarnation));
+                let lapsed = self.is_lapsed(version);
                 match row.resigned || own_past || lapsed || abandoned {
                     true if due || row.resigned || own_past => {
                         Some(self.claim(now, generation, version))
@@ -274,6 +315,10 @@
             renewals: 0,
             resigned: false,
             nodes: self.nodes(),
+            sole_in_ms: self
+                .seen
+                .as_ref()
+                .map_or(0, |(row, version)| self.wait_after(row, *version)),
             ..self.own.clone()
         };
         self.write(now, row, expected)
@@ -285,3 +330,7 @@
         LeaseAction::Write { row, expected }
     }
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -74,13 +74,16 @@
     let now = shared.now();
     let mut state = shared.write();
     state.ledger.merge(now, &reply.suspects);
+    let known = reply.leader.as_ref().map(|seen| seen.version);
     if let Some(LeaderSeen { row, version }) = reply.leader {
         state.lease.see(now, Some((row, version)));
         state.assume_nodes(now);
     }
     state.leader_troubled = reply.troubled;
     if !reply.leads {
-        state.lease.note_lapsed(&reply.from);
+        if let Some(version) = known {
+            state.lease.note_lapsed(&reply.from, version);
+        }
         return;
     }
     state.leader_heard = now;
--- a/crates/router/tests/leader_lease.rs
+++ b/crates/router/tests/leader_lease.rs
@@ -106,8 +106,41 @@
     assert_eq!(second.nodes(), 65);
 }
 
+/// What a process said of the lead, on its way to another one.
+struct Word {
+    due: Instant,
+    from: usize,
+    to: usize,
+    leads: bool,
+    seen: Option<(LeaderRow, RowVersion)>,
+}
+
+/// Sends and delivers what processes say of the lead.
+fn exchange(
+    now: Instant,
+    random: &mut ChaCha8Rng,
+    leases: &mut [LeaderLease; 3],
+    words: &mut Vec<Word>,
+) {
+    let (from, to) = (random.random_range(0..3), random.random_range(0..3));
+    if from != to && random.random_bool(0.3) {
+        let due = now + Duration::from_millis(random.random_range(0..400));
+        let leads = leases[from].authority(now).is_some();
+        words.push(Word { due, from, to, leads, seen: leases[from].seen() });
+    }
+    let (due, later) = std::mem::take(words).into_iter().partition(|word| word.due <= now);
+    *words = later;
+    for Word { from, to, leads, seen, .. } in due {
+        let version = seen.as_ref().map(|(_, version)| *version);
+        leases[to].see(now, seen);
+        if let (false, Some(version)) = (leads, version) {
+            leases[to].note_lapsed(&format!("n{}", from + 1).parse().unwrap(), version);
+        }
+    }
+}
+
 // Guards against two processes that may move keys at the same time, under lost answers, late
-// writes and processes that stand still.
+// writes, old words of the lead and processes that stand still.
 #[test]
 fn never_two_that_may_move() {
     for seed in 0..300 {
@@ -116,8 +149,17 @@
         let mut row = FakeRow::default();
         let mut leases = [lease("n1", 1), lease("n2", 1), lease("n3", 1)];
         let mut frozen = [Instant::default(); 3];
+        let mut words: Vec<Word> = Vec::new();
+        let mut late: Vec<(Instant, LeaderRow, RowVersion)> = Vec::new();
         for _ in 0..1_200 {
             now = now + STEP;
+            exchange(now, &mut random, &mut leases, &mut words);
+            late.retain(|(due, new, expected)| {
+                if *due <= now {
+                    row.write(new, *expected);
+                }
+                *due > now
+            });
             for index in 0..leases.len() {
                 if random.random_bool(0.005) {
                     frozen[index] = now + Duration::from_millis(random.random_range(100..8_000));
@@ -127,10 +169,11 @@
                 }
                 let hears = random.random_bool(0.5);
                 match leases[index].tick(now, hears) {
-                    // The call is lost, or took effect without an answer.
+                    // The call is lost, or takes effect now or later without an answer.
                     Some(LeaseAction::Write { row: new, expected }) if random.random_bool(0.1) => {
                         if random.random_bool(0.5) {
-                            row.write(&new, expected);
+                            let delay = Duration::from_millis(random.random_range(0..4_000));
+                            late.push((now + delay, new, expected));
                         }
                         leases[index].on_failed();
                     }
@@ -145,3 +188,48 @@
         }
     }
 }
+
+// Guards against a successor that takes an old word of the leader for its end, although the leader
+// took the lead again since (fvmu-macerator inc-05e6: two nodes that could move keys at once).
+#[test]
+fn a_leader_that_leads_again_is_not_replaced_at_once() {
+    let (mut now, mut row) = (Instant::from_us(1_000_000), FakeRow::default());
+    let (mut first, mut second) = (lease("n1", 1), lease("n2", 1));
+    run(&mut now, &mut first, &mut row, Duration::from_secs(3));
+    second.on_read(now, row.read());
+    // The store is out of reach until the lease of the leader ran out, which it says.
+    now = now + Duration::from_secs(6);
+    assert!(first.tick(now, true).is_none() && first.authority(now).is_none());
+    let (_, known) = first.seen().unwrap();
+    second.note_lapsed(&"n1".parse().unwrap(), known);
+    assert!(second.is_vacant());
+    run(&mut now, &mut first, &mut row, Duration::from_secs(1));
+    assert!(first.authority(now).is_some());
+    second.see(now, row.read());
+    assert!(!second.is_vacant());
+    run(&mut now, &mut second, &mut row, Duration::from_millis(1_500));
+    assert!(second.authority(now).is_none_or(|authority| !authority.may_move(now)));
+}
+
+// Guards against a successor that takes its own new row, seen before the store's answer, for the
+// one that it replaced.
+#[test]
+fn a_row_seen_before_its_answer_shortens_no_wait() {
+    let (mut now, mut row) = (Instant::from_us(1_000_000), FakeRow::default());
+    let (mut first, mut second) = (lease("n1", 1), lease("n2", 1));
+    run(&mut now, &mut first, &mut row, Duration::from_secs(3));
+    let until = first.authority(now).unwrap().until;
+    let claim = loop {
+        now = now + STEP;
+        match second.tick(now, false) {
+            Some(LeaseAction::Write { row, expected }) => break (row, expected),
+            Some(action) => act(now, &mut second, &mut row, action),
+            None => {}
+        }
+    };
+    let version = row.write(&claim.0, claim.1);
+    second.see(now, row.read());
+    second.on_written(now, claim.0, version);
+    let authority = second.authority(now).expect("the row was written");
+    assert!(authority.sole_from >= until);
+}
