--- a/crates/dispatch/src/request_plan.rs
+++ b/crates/dispatch/src/request_plan.rs
@@ -108,11 +108,6 @@
         self.attempts.len()
     }
 
-    /// Returns whether the request is over.
-    pub fn is_ended(&self) -> bool {
-        self.ended
-    }
-
     fn choose(&mut self, out: &mut Vec<PlanOutput>) {
         let attempt = self.attempts.start(self.request.id);
         out.push(PlanOutput::Choose { attempt });
--- a/crates/history/src/execution.rs
+++ b/crates/history/src/execution.rs
@@ -42,10 +42,3 @@
     /// How the work ended.
     pub ending: Ending,
 }
-
-impl Execution {
-    /// Returns whether the work took effect.
-    pub fn completed(&self) -> bool {
-        self.ending == Ending::Completed
-    }
-}
--- a/crates/site/src/registry.rs
+++ b/crates/site/src/registry.rs
@@ -96,13 +96,6 @@
         gone
     }
 
-    /// Treats every target outside the list as missing, as after a full read of the registry.
-    pub fn keep_only(&mut self, now: Instant, listed: &[TargetId]) {
-        let missing: Vec<TargetId> =
-            self.entries.keys().filter(|target| !listed.contains(target)).cloned().collect();
-        missing.iter().for_each(|target| self.remove(now, target));
-    }
-
     /// Notes how long a target is cold, as it says itself.
     pub fn set_cold(&mut self, now: Instant, target: &TargetId, left: Duration) {
         if let Some(entry) = self.entries.get_mut(target) {
