Log each request that is withheld from an owner, with the part that is sent and the age of the leader's word

Cause: a request refused because its owner gets more than it can run showed as queue-full, like one that this node's own view of the queue refused; the input that decided it was in no line.

--- a/crates/router/src/admitted_shares.rs
+++ b/crates/router/src/admitted_shares.rs
@@ -25,21 +25,17 @@
         self.until = now + LIFETIME;
     }
 
-    /// Returns whether a request on a key is to be sent to its owner.
-    pub(crate) fn admits<R: Rng>(
+    /// Returns the part that is sent to the owner of a key, if this request is not in it.
+    pub(crate) fn withheld<R: Rng>(
         &self,
         now: Instant,
         back_end: &BackEndId,
         key: ShardKey,
         random: &mut R,
-    ) -> bool {
-        let share = self.shares.get(back_end).and_then(|shares| share_of(shares, key));
-        match share {
-            Some(share) if now < self.until => {
-                random.random_range(0..PartsPerMillion::ONE.get()) < share.get()
-            }
-            _ => true,
-        }
+    ) -> Option<PartsPerMillion> {
+        let shares = self.shares.get(back_end).filter(|_| now < self.until)?;
+        let share = share_of(shares, key)?;
+        (random.random_range(0..PartsPerMillion::ONE.get()) >= share.get()).then_some(share)
     }
 }
 
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -396,7 +396,10 @@
                 return Owner::Refuse(Reason::TargetUnavailable);
             }
         }
-        if tried.is_empty() && !state.admitted.admits(now, &call.back_end, key, &mut state.random) {
+        let withheld = state.admitted.withheld(now, &call.back_end, key, &mut state.random);
+        if let Some(share) = withheld.filter(|_| tried.is_empty()) {
+            let leader_age = now.saturating_since(state.leader_heard);
+            log_lines::withheld(call, &target.target, share, leader_age).info();
             return Owner::Refuse(Reason::QueueFull);
         }
         let load = state.picker.load(&target.target);
--- a/crates/router/src/log_lines.rs
+++ b/crates/router/src/log_lines.rs
@@ -1,7 +1,9 @@
 //! The log line of a request that ended.
 
+use std::time::Duration;
+
 use wagtailmoor_admission::Picked;
-use wagtailmoor_core::{ConfigVersion, Instant};
+use wagtailmoor_core::{ConfigVersion, Instant, PartsPerMillion, TargetId};
 use wagtailmoor_dispatch::Verdict;
 use wagtailmoor_front::{Call, Refusal};
 use wagtailmoor_site::Target;
@@ -77,3 +79,16 @@
         .field("detail", &refusal.detail);
     with_inputs(event, state, now)
 }
+
+/// The line of a request that is not sent to an owner with more requests than it can run.
+pub(crate) fn withheld(
+    call: &Call,
+    owner: &TargetId,
+    admitted: PartsPerMillion,
+    leader_age: Duration,
+) -> Event {
+    with_call(Event::new("withheld"), call)
+        .field("target", owner)
+        .field("admitted_ppm", admitted.get())
+        .field("leader_age_ms", leader_age.as_millis())
+}
