Use one copy of what the change wrote twice, and look for shares only when they are due

Cause: a reading of the whole change. Done for nothing: the leader looked through all routes for an objective on every tick and used it every 200 ms, and summed the speeds of all targets twice; a node drew a random number for repeated attempts that are never withheld.

No bound, check or assertion changed.

Ruled out as twins: the grant and release orders, whose outcomes differ, and the accounts of issuer and node, which are alike in shape only.

--- a/bins/wagtailmoor/src/edit.rs
+++ b/bins/wagtailmoor/src/edit.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 use wagtailmoor_configuration::{Change, ChangeRecord, Configuration, ServiceState};
-use wagtailmoor_core::{ConfigVersion, CustomerId, CustomerKeyId, KeyDigest, WriteId};
+use wagtailmoor_core::{ConfigVersion, CustomerId, CustomerKeyId, KeyDigest, WriteId, millis};
 use wagtailmoor_settings::{ChangeFile, load};
 use wagtailmoor_store::{
     AppendOutcome, HttpPlatform, append_change, read_changes, read_configuration,
@@ -243,5 +243,5 @@
 
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    millis(since)
 }
--- a/bins/wagtailmoor/src/routers.rs
+++ b/bins/wagtailmoor/src/routers.rs
@@ -15,8 +15,6 @@
 /// A process that does not answer in this time counts as silent.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
 
-const STATUS_PATH: &str = "/status";
-
 /// A process that did not answer.
 #[derive(Clone, Debug, Serialize)]
 struct Silent {
@@ -77,7 +75,7 @@
 }
 
 async fn status(client: &JsonClient, address: SocketAddr) -> Result<NodeStatus, String> {
-    let response = client.get(address, STATUS_PATH).await?;
+    let response = client.get(address, NodeStatus::PATH).await?;
     match response.status.is_success() {
         true => response.decode().map_err(|error| format!("the answer is no status: {error}")),
         false => Err(format!("status {}", response.status.as_u16())),
--- a/crates/admission/src/customer_limits.rs
+++ b/crates/admission/src/customer_limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtailmoor_core::{CustomerId, Instant, PartsPerMillion, SortedVec};
+use wagtailmoor_core::{CustomerId, Instant, SortedVec};
 use wagtailmoor_limits::TokenBucket;
 use wagtailmoor_site::CustomerRule;
 
@@ -165,10 +165,9 @@
         match self.allowances.get(customer) {
             _ if now >= self.answer_until => Mode::Alone,
             None => Mode::Free,
-            Some(allowance) => Mode::Tight {
-                share: f64::from(allowance.share.get()) / f64::from(PartsPerMillion::ONE.get()),
-                level: f64::from(allowance.level),
-            },
+            Some(allowance) => {
+                Mode::Tight { share: allowance.share.of(1.0), level: f64::from(allowance.level) }
+            }
         }
     }
 
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -22,4 +22,4 @@
 pub use node_allowance::{CustomerUse, NodeAllowance};
 pub use target_load::{Running, TargetLoad};
 pub use target_picker::{Demand, Picked, TargetPicker};
-pub use target_speeds::{ServiceTime, TargetRoom, TargetSpeeds};
+pub use target_speeds::{ServiceTime, TargetSpeeds};
--- a/crates/admission/src/limit_issuer.rs
+++ b/crates/admission/src/limit_issuer.rs
@@ -175,9 +175,7 @@
             true => own / total,
             false => 1.0 / live_count,
         };
-        let share = equal_part / live_count + (1.0 - equal_part) * by_demand;
-        // The share is between zero and one, so the conversion cannot overflow.
-        PartsPerMillion::new((share * f64::from(PartsPerMillion::ONE.get())) as u32)
+        PartsPerMillion::from_share(equal_part / live_count + (1.0 - equal_part) * by_demand)
     }
 }
 
--- a/crates/admission/src/target_speeds.rs
+++ b/crates/admission/src/target_speeds.rs
@@ -4,6 +4,7 @@
 
 use wagtailmoor_core::{Instant, SortedVec, TargetId};
 use wagtailmoor_derive::value;
+use wagtailmoor_ranges::Room;
 use wagtailmoor_site::Target;
 
 /// Time constant with which answers are forgotten. Targets differ for good, and neighbours slow
@@ -53,15 +54,6 @@
     pub refused: u32,
 }
 
-/// What a target can take.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct TargetRoom {
-    /// Requests in a second that may be sent to it.
-    pub rate_per_s: f64,
-    /// Requests that may join its queue; negative if too many wait already.
-    pub queue: f64,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Seen {
     answers: f64,
@@ -155,7 +147,7 @@
         target: &Target,
         usual: Duration,
         objective: Duration,
-    ) -> TargetRoom {
+    ) -> Room {
         let slots = f64::from(target.slots.get().max(1));
         let service = usual.div_f64(self.relative(now, &target.target, usual));
         let service_s = service.as_secs_f64().max(1e-6);
@@ -167,7 +159,7 @@
         let filled = (waiting / queue_max).min(1.0);
         let taken = seen.taken_share();
         let sent_by_run = 1.0 / (taken + (1.0 - taken) * filled);
-        TargetRoom {
+        Room {
             rate_per_s: slots / service_s * sent_by_run * SPEED_HEADROOM,
             queue: queue_max - waiting,
         }
--- a/crates/burn/src/unix_millis.rs
+++ b/crates/burn/src/unix_millis.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use wagtailmoor_core::millis;
 use wagtailmoor_derive::scalar;
 
 /// Milliseconds since the start of 1970, UTC.
@@ -28,7 +29,7 @@
 
     /// Returns the time that lies before this one by a span, at the earliest 1970.
     pub fn before(self, span: Duration) -> Self {
-        let span_ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        let span_ms = millis(span);
         Self(self.0.saturating_sub(span_ms))
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 mod instant;
 mod key_digest;
 mod key_hash;
+mod millis;
 mod outcome;
 mod parse_error;
 mod reason;
@@ -28,6 +29,7 @@
 pub use instant::Instant;
 pub use key_digest::KeyDigest;
 pub use key_hash::{KeyHash, home_zone, rendezvous_score};
+pub use millis::millis;
 pub use outcome::Outcome;
 pub use parse_error::ParseError;
 pub use reason::Reason;
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -40,6 +40,12 @@
     /// The whole.
     pub const ONE: Self = Self::new(1_000_000);
 
+    /// Returns a share that is given as a number from zero to one.
+    pub fn from_share(share: f64) -> Self {
+        // The conversion of a float saturates, so nothing outside the type can result.
+        Self::new((share * f64::from(Self::ONE.get())) as u32)
+    }
+
     /// Returns this share of an amount.
     pub fn of(self, amount: f64) -> f64 {
         amount * f64::from(self.get()) / f64::from(Self::ONE.get())
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -5,7 +5,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use wagtailmoor_backend::BackEndClient;
-use wagtailmoor_core::{Clock, Instant, MonotonicClock};
+use wagtailmoor_core::{Clock, Instant, MonotonicClock, millis};
 use wagtailmoor_peer::PeerClient;
 use wagtailmoor_store::HttpPlatform;
 use wagtailmoor_telemetry::Metrics;
@@ -60,5 +60,5 @@
 /// Returns milliseconds since the Unix epoch.
 pub(crate) fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    millis(since)
 }
--- a/crates/entry/src/peer_calls.rs
+++ b/crates/entry/src/peer_calls.rs
@@ -3,7 +3,7 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use wagtailmoor_configuration::Snapshot;
-use wagtailmoor_core::{BackEndId, Instant, KeyHash, ZoneId};
+use wagtailmoor_core::{BackEndId, Instant, KeyHash, ZoneId, millis};
 use wagtailmoor_dispatch::MemberState;
 use wagtailmoor_lease::Authority;
 use wagtailmoor_membership::{Digest, Liveness};
@@ -161,7 +161,3 @@
         OwnerReport { back_end, key, slot, owner, state: state.into() }
     }
 }
-
-fn millis(span: std::time::Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/front/src/own_dialect.rs
+++ b/crates/front/src/own_dialect.rs
@@ -7,7 +7,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::Full;
-use wagtailmoor_core::{Outcome, Reason};
+use wagtailmoor_core::{Outcome, Reason, millis};
 use wagtailmoor_dispatch::ResponseHead;
 
 use crate::dialect::{AttemptHead, Dialect};
@@ -82,7 +82,7 @@
     }
 
     fn add_attempt(&self, fields: &mut HeaderMap, attempt: &AttemptHead<'_>) {
-        let left_ms = u64::try_from(attempt.left.as_millis()).unwrap_or(u64::MAX);
+        let left_ms = millis(attempt.left);
         fields.insert(headers::DEADLINE_MS, HeaderValue::from(left_ms));
         fields.insert(headers::REQUEST_ID, headers::text_value(&attempt.attempt.to_string()));
         if let Some((slot, epoch)) = attempt.ownership {
--- a/crates/ranges/src/range_share.rs
+++ b/crates/ranges/src/range_share.rs
@@ -55,8 +55,7 @@
         let given = rate.min(equal);
         left -= given;
         if given < rate {
-            let whole = f64::from(PartsPerMillion::ONE.get());
-            let admitted = PartsPerMillion::new((given / rate * whole) as u32);
+            let admitted = PartsPerMillion::from_share(given / rate);
             limited.push(RangeShare { range, admitted });
         }
     }
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -396,8 +396,11 @@
                 return Owner::Refuse(Reason::TargetUnavailable);
             }
         }
-        let withheld = state.admitted.withheld(now, &call.back_end, key, &mut state.random);
-        if let Some(share) = withheld.filter(|_| tried.is_empty()) {
+        let withheld = match tried.is_empty() {
+            true => state.admitted.withheld(now, &call.back_end, key, &mut state.random),
+            false => None,
+        };
+        if let Some(share) = withheld {
             let leader_age = now.saturating_since(state.leader_heard);
             log_lines::withheld(call, &target.target, share, leader_age).info();
             return Owner::Refuse(Reason::QueueFull);
--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -9,7 +9,7 @@
 use wagtailmoor_core::{BackEndId, Instant, RowVersion};
 use wagtailmoor_ranges::{
     AssignmentTable, Authority, GrantOutcome, Granter, GranterSettings, Holder, Member, Order,
-    ReleaseOutcome, Room, StoreOutcome,
+    ReleaseOutcome, StoreOutcome,
 };
 use wagtailmoor_store::{RowWrite, Table, WriteOutcome, write_and_confirm};
 use wagtailmoor_telemetry::Event;
@@ -102,8 +102,9 @@
     let mut state = shared.write();
     state.drop_gone(now);
     let state = &mut *state;
-    let members = members(state, now, back_end);
-    update_shares(state, now, back_end);
+    let usual = usual_service(state, now, back_end);
+    let members = members(state, now, back_end, usual);
+    update_shares(state, now, back_end, usual);
     let ended = state.ended.take_ended();
     let Some(granter) = state.granters.get_mut(back_end) else { return Vec::new() };
     granter.set_authority(authority);
@@ -115,9 +116,13 @@
     granter.tick(now)
 }
 
-fn members(state: &RouterState, now: Instant, back_end: &BackEndId) -> Vec<Member> {
+fn members(
+    state: &RouterState,
+    now: Instant,
+    back_end: &BackEndId,
+    usual: Duration,
+) -> Vec<Member> {
     let registry = &state.registry;
-    let usual = usual_service(state, now, back_end);
     registry
         .targets_of(back_end)
         .map(|target| {
@@ -133,22 +138,24 @@
         .collect()
 }
 
+/// Returns how long targets of a back end usually take for a request.
 fn usual_service(state: &RouterState, now: Instant, back_end: &BackEndId) -> Duration {
     let all = state.registry.targets_of(back_end).map(|target| &target.target);
     state.speeds.usual(now, all).unwrap_or(USUAL_LATENCY)
 }
 
 /// Finds out on which ranges more requests arrive than their owners can run in time.
-fn update_shares(state: &mut RouterState, now: Instant, back_end: &BackEndId) {
-    let due = state.shares_at.get(back_end).is_none_or(|at| now >= *at + SHARES_INTERVAL);
+fn update_shares(state: &mut RouterState, now: Instant, back_end: &BackEndId, usual: Duration) {
+    if state.shares_at.get(back_end).is_some_and(|at| now < *at + SHARES_INTERVAL) {
+        return;
+    }
     let objective = state.config.as_ref().and_then(|config| config.objective(back_end));
-    let (true, Some(objective)) = (due, objective) else { return };
-    let usual = usual_service(state, now, back_end);
-    let Some(granter) = state.granters.get(back_end) else { return };
+    let (Some(objective), Some(granter)) = (objective, state.granters.get(back_end)) else {
+        return;
+    };
     let room = |holder: &Holder| {
         let target = state.registry.get(&holder.target)?;
-        let room = state.speeds.room(now, target, usual, objective);
-        Some(Room { rate_per_s: room.rate_per_s, queue: room.queue })
+        Some(state.speeds.room(now, target, usual, objective))
     };
     let shares = granter.shares(now, room);
     state.shares_at.insert(back_end.clone(), now);
--- a/crates/router/src/leader_lease.rs
+++ b/crates/router/src/leader_lease.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use wagtailmoor_core::{Generation, Incarnation, Instant, NodeId, RowVersion};
+use wagtailmoor_core::{Generation, Incarnation, Instant, NodeId, RowVersion, millis};
 use wagtailmoor_derive::value;
 use wagtailmoor_ranges::Authority;
 
@@ -285,16 +285,13 @@
         let due = self.last_read.is_none_or(|read| now >= read + READ_INTERVAL);
         match &self.seen {
             _ if self.last_read.is_none() => self.read(now),
-            None => Some(self.claim(now, Generation::default(), RowVersion::default())),
+            None => Some(self.claim(now)),
             Some((row, version)) => {
-                let (generation, version) = (row.generation, *version);
                 let own_past = row.node == self.own.node && row.incarnation != self.own.incarnation;
                 let abandoned = now.saturating_since(self.seen_changed) >= ABANDONED_AFTER;
-                let lapsed = self.is_lapsed(version);
+                let lapsed = self.is_lapsed(*version);
                 match row.resigned || own_past || lapsed || abandoned {
-                    true if due || row.resigned || own_past => {
-                        Some(self.claim(now, generation, version))
-                    }
+                    true if due || row.resigned || own_past => Some(self.claim(now)),
                     false if due => self.read(now),
                     _ => None,
                 }
@@ -308,17 +305,19 @@
         Some(LeaseAction::Read)
     }
 
-    fn claim(&mut self, now: Instant, last: Generation, expected: RowVersion) -> LeaseAction {
+    /// Returns the write that replaces the row as it was last seen, or creates it.
+    fn claim(&mut self, now: Instant) -> LeaseAction {
         self.last_read = Some(now);
+        let (generation, sole_in_ms, expected) = match &self.seen {
+            Some((row, version)) => (row.generation, self.wait_after(row, *version), *version),
+            None => (Generation::default(), 0, RowVersion::default()),
+        };
         let row = LeaderRow {
-            generation: last.next(),
+            generation: generation.next(),
             renewals: 0,
             resigned: false,
             nodes: self.nodes(),
-            sole_in_ms: self
-                .seen
-                .as_ref()
-                .map_or(0, |(row, version)| self.wait_after(row, *version)),
+            sole_in_ms,
             ..self.own.clone()
         };
         self.write(now, row, expected)
@@ -330,7 +329,3 @@
         LeaseAction::Write { row, expected }
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/router/src/metrics_page.rs
+++ b/crates/router/src/metrics_page.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use wagtailmoor_core::{BackEndId, CustomerId, Reason};
+use wagtailmoor_core::{BackEndId, CustomerId, Reason, millis};
 
 use crate::state::RouterState;
 use crate::stats::{LATENCY_BOUNDS_MS, RequestLabels};
@@ -20,7 +20,7 @@
             let labels = format!("{labels},le=\"{bound}\"");
             line(&mut page, "wagtailmoor_latency_ms_bucket", &labels, sum);
         }
-        let total_ms = u64::try_from(counts.total.as_millis()).unwrap_or(u64::MAX);
+        let total_ms = millis(counts.total);
         line(&mut page, "wagtailmoor_latency_ms_sum", &labels, total_ms);
         line(&mut page, "wagtailmoor_latency_ms_count", &labels, counts.requests);
     }
--- a/crates/router/src/node_status.rs
+++ b/crates/router/src/node_status.rs
@@ -1,10 +1,8 @@
 //! What a router process tells operators about itself, as one JSON document.
 
-use std::time::Duration;
-
 use wagtailmoor_core::{
     BackEndId, ConfigVersion, CustomerId, Epoch, Generation, Incarnation, Instant, NodeId,
-    Requests, RequestsPerSecond, RowVersion, ShardKey, TargetId, ZoneId,
+    Requests, RequestsPerSecond, RowVersion, ShardKey, TargetId, ZoneId, millis,
 };
 use wagtailmoor_derive::value;
 use wagtailmoor_ranges::AssignmentTable;
@@ -104,6 +102,9 @@
 }
 
 impl NodeStatus {
+    /// Path of the status on the metrics address.
+    pub const PATH: &str = "/status";
+
     pub(crate) fn of(shared: &SharedState) -> Self {
         let (now, state) = (shared.now(), shared.read());
         let settings = &shared.settings;
@@ -123,10 +124,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn leader(state: &RouterState, now: Instant) -> Option<LeaderStatus> {
     let row = state.lease.leader()?;
     let authority = state.lease.authority(now);
--- a/crates/router/src/ready_page.rs
+++ b/crates/router/src/ready_page.rs
@@ -25,9 +25,6 @@
 /// Pause after a failed accept, which most likely ran out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// Path of the status on the metrics address.
-const STATUS_PATH: &str = "/status";
-
 /// What an address serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Page {
@@ -81,7 +78,7 @@
     let known = page == Page::Metrics || path == shared.settings.ready_path;
     let (status, body) = match page {
         _ if !known => (StatusCode::NOT_FOUND, String::new()),
-        Page::Metrics if path == STATUS_PATH => (StatusCode::OK, status_text(shared)),
+        Page::Metrics if path == NodeStatus::PATH => (StatusCode::OK, status_text(shared)),
         Page::Ready if state.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
         Page::Ready => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         Page::Metrics => (StatusCode::OK, metrics_page::render(&state)),
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -8,7 +8,7 @@
 use wagtailmoor_telemetry::Event;
 
 use crate::peer_link::{PeerCall, PeerLink};
-use crate::peer_service::{KeyCounts, LeaderReply, LeaderSeen, NodeReport};
+use crate::peer_service::{KeyCounts, LeaderReply, NodeReport};
 use crate::row_source;
 use crate::site_decoder::SiteDecoder;
 use crate::state::Shared;
@@ -75,10 +75,7 @@
     let mut state = shared.write();
     state.ledger.merge(now, &reply.suspects);
     let known = reply.leader.as_ref().map(|seen| seen.version);
-    if let Some(LeaderSeen { row, version }) = reply.leader {
-        state.lease.see(now, Some((row, version)));
-        state.assume_nodes(now);
-    }
+    state.see_leader(now, reply.leader);
     state.leader_troubled = reply.troubled;
     if !reply.leads {
         if let Some(version) = known {
@@ -111,7 +108,7 @@
         leads,
         troubled,
         from: shared.settings.node.clone(),
-        leader: state.lease.seen().map(|(row, version)| LeaderSeen { row, version }),
+        leader: state.leader_seen(),
         nodes_version: 0,
         nodes: None,
         site_nodes: 0,
--- a/crates/router/src/row_source.rs
+++ b/crates/router/src/row_source.rs
@@ -17,7 +17,7 @@
 
 use crate::feeds::{self, RANGES_TABLE};
 use crate::peer_link::PeerLink;
-use crate::peer_service::{KnownRows, LeaderSeen, MissedRows, NodeAddress};
+use crate::peer_service::{KnownRows, MissedRows, NodeAddress};
 use crate::site_decoder::SiteDecoder;
 use crate::state::{RouterState, Shared};
 
@@ -47,6 +47,9 @@
 /// Nodes of a zone that may become the leader as soon as the present one is silent.
 const CANDIDATES_BY_ZONE: usize = 2;
 
+/// Nodes of a zone that follow the store for the others.
+const RELAYS_BY_ZONE: usize = 1;
+
 /// Orders the nodes of a zone by what they can do for the others, then by hash.
 fn order(node: &NodeAddress) -> (u32, u64) {
     let item = KeyHash::of(RELAY_ITEM).get();
@@ -61,17 +64,25 @@
 
 /// Returns whether this node is to become the leader as soon as the present one is silent.
 pub(crate) fn is_candidate(state: &RouterState, own: &NodeAddress, seeds: &[SocketAddr]) -> bool {
-    match state.nodes.is_empty() {
-        true => seeds.is_empty() || seeds.contains(&own.address),
-        false => rank(state, own) < CANDIDATES_BY_ZONE,
-    }
+    is_among_first(state, own, seeds, CANDIDATES_BY_ZONE)
 }
 
 /// Returns whether this node passes the store's changes on to its zone.
 pub(crate) fn is_relay(state: &RouterState, own: &NodeAddress, seeds: &[SocketAddr]) -> bool {
+    is_among_first(state, own, seeds, RELAYS_BY_ZONE)
+}
+
+/// Returns whether this node is among the strongest of its zone. While no nodes are known the seeds
+/// count as such.
+fn is_among_first(
+    state: &RouterState,
+    own: &NodeAddress,
+    seeds: &[SocketAddr],
+    count: usize,
+) -> bool {
     match state.nodes.is_empty() {
         true => seeds.is_empty() || seeds.contains(&own.address),
-        false => rank(state, own) == 0,
+        false => rank(state, own) < count,
     }
 }
 
@@ -125,21 +136,16 @@
     loop {
         let lacks_store = !is_fresh(&shared);
         let peer = match relay(&shared) {
-            Some(peer) => peer,
             // A relay that lacks the store itself asks any other node.
             None if lacks_store => {
                 let own = shared.settings.address();
-                let peer = some_peer(&mut shared.write(), &own, &shared.settings.seeds);
-                let Some(peer) = peer else {
-                    sleep(IDLE_PAUSE).await;
-                    continue;
-                };
-                peer
-            }
-            None => {
-                sleep(IDLE_PAUSE).await;
-                continue;
+                some_peer(&mut shared.write(), &own, &shared.settings.seeds)
             }
+            peer => peer,
+        };
+        let Some(peer) = peer else {
+            sleep(IDLE_PAUSE).await;
+            continue;
         };
         match link.rows(peer, known_rows::<S>(&shared)).await {
             Some(missed) => {
@@ -166,10 +172,7 @@
     feeds::apply(shared, decoder, RANGES_TABLE, missed.ranges);
     let now = shared.now();
     let mut state = shared.write();
-    if let Some(LeaderSeen { row, version }) = missed.leader {
-        state.lease.see(now, Some((row, version)));
-        state.assume_nodes(now);
-    }
+    state.see_leader(now, missed.leader);
     if !missed.has_store {
         // The store itself may still answer this node.
         state.relay_heard = Instant::default();
@@ -210,7 +213,7 @@
         operators: state.rows.page(S::OPERATOR_TABLE, known.operators),
         targets: state.rows.page(S::TARGET_TABLE, known.targets),
         ranges: state.rows.page(RANGES_TABLE, known.ranges),
-        leader: state.lease.seen().map(|(row, version)| LeaderSeen { row, version }),
+        leader: state.leader_seen(),
         has_store: state.config.is_some() && is_fresh(shared),
         store_age: now.saturating_since(state.store_heard),
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -21,7 +21,7 @@
 use crate::boot_clock::BootClock;
 use crate::leader_lease::LeaderLease;
 use crate::node_settings::NodeSettings;
-use crate::peer_service::NodeAddress;
+use crate::peer_service::{LeaderSeen, NodeAddress};
 use crate::row_cache::RowCache;
 use crate::stats::Stats;
 
@@ -199,6 +199,19 @@
         *counts.get_or_insert_with(key, || 0) += 1;
     }
 
+    /// Returns the leader as this node knows it, to tell another one.
+    pub(crate) fn leader_seen(&self) -> Option<LeaderSeen> {
+        self.lease.seen().map(|(row, version)| LeaderSeen { row, version })
+    }
+
+    /// Takes the leader as another node knows it.
+    pub(crate) fn see_leader(&mut self, now: Instant, seen: Option<LeaderSeen>) {
+        if let Some(LeaderSeen { row, version }) = seen {
+            self.lease.see(now, Some((row, version)));
+            self.assume_nodes(now);
+        }
+    }
+
     /// Takes the number of nodes from the leader's row, for the time without an issuer.
     pub(crate) fn assume_nodes(&mut self, now: Instant) {
         self.customers.assume_nodes(now, self.lease.nodes());
--- a/crates/router/src/stats.rs
+++ b/crates/router/src/stats.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtailmoor_core::{BackEndId, CustomerId, Outcome, Reason, SortedVec};
+use wagtailmoor_core::{BackEndId, CustomerId, Outcome, Reason, SortedVec, millis};
 
 /// Upper bounds of the latency buckets, in milliseconds.
 pub(crate) const LATENCY_BOUNDS_MS: [u64; 10] =
@@ -47,7 +47,7 @@
         let counts = self.requests.get_or_insert_with(labels, RequestCounts::default);
         counts.requests += 1;
         counts.total += latency;
-        let latency_ms = u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
+        let latency_ms = millis(latency);
         let bucket = LATENCY_BOUNDS_MS.partition_point(|bound| *bound < latency_ms);
         counts.buckets[bucket] += 1;
     }
--- a/crates/router/tests/hot_owner.rs
+++ b/crates/router/tests/hot_owner.rs
@@ -9,7 +9,7 @@
 use wagtailmoor_admission::{ServiceTime, TargetSpeeds};
 use wagtailmoor_core::{Incarnation, Instant, Requests, ShardKey, TargetId};
 use wagtailmoor_ranges::{
-    AssignmentTable, Authority, Granter, GranterSettings, Holder, KeyRange, RangeShare, Room,
+    AssignmentTable, Authority, Granter, GranterSettings, Holder, KeyRange, RangeShare,
 };
 use wagtailmoor_site::{Target, TargetState};
 
@@ -155,10 +155,8 @@
         self.speeds.report(self.now, &[service]);
         self.granter.tick(self.now);
         let (speeds, target, now) = (&self.speeds, &self.target, self.now);
-        self.shares = self.granter.shares(now, |_| {
-            let room = speeds.room(now, target, SERVICE, OBJECTIVE);
-            Some(Room { rate_per_s: room.rate_per_s, queue: room.queue })
-        });
+        self.shares =
+            self.granter.shares(now, |_| Some(speeds.room(now, target, SERVICE, OBJECTIVE)));
     }
 
     fn tally(&mut self, key: u16) -> &mut Tally {
