Ask the next process of a restarted target to release before its keys go elsewhere

A renewal sent between the start of a new process and its registration was accepted by it, and the granter took the registration for proof that the target holds nothing. The schedules of ranges now deliver orders by target, let the registry lag behind restarts, and start a granter again after a conflict, as the shell does. A new leader skips 4,096 epochs in place of 256: releases use epochs that are not stored. Ruled out: waiting for the hold after each restart (5 s without an owner), a check of born in the answer (grants have none).

--- a/crates/ranges/src/granter.rs
+++ b/crates/ranges/src/granter.rs
@@ -6,6 +6,7 @@
 
 use crate::held_range::{HeldRange, RangeState};
 use crate::range_share::divide;
+use crate::release::Release;
 use crate::{
     Assignment, AssignmentTable, Authority, Balancer, GrantOutcome, GranterSettings, Holder,
     KeyLoad, KeyRange, Member, Move, Order, RangeShare, ReleaseOutcome, Room, StoreOutcome,
@@ -20,8 +21,9 @@
 /// Time for which a target is passed over after its address refused a connection.
 const REFUSED_PAUSE: Duration = Duration::from_secs(4);
 
-/// Epochs that a new granter skips: an earlier one may have used as many without storing them.
-const EPOCH_GAP: u64 = 256;
+/// Epochs that a new granter skips: an earlier one may have used one to release each range without
+/// storing it, and a row of the store has room for fewer ranges than this.
+const EPOCH_GAP: u64 = 4_096;
 
 /// Ranges for each member above which neighbours are joined. Ranges cost a renewal each and bytes
 /// in every copy of the table.
@@ -95,7 +97,8 @@
             expires,
             confirmed_expires: expires,
             handover: None,
-            state: RangeState::Held { renew_at: now, in_flight: false },
+            in_flight: false,
+            state: RangeState::Held { renew_at: now },
         });
         let gaps = table.gaps().into_iter().map(|range| HeldRange::unassigned(range, expires));
         self.ranges = held.chain(gaps).collect();
@@ -184,15 +187,20 @@
     ) {
         let (renew, retry) = (self.settings.renew_interval, self.settings.retry_interval);
         let hold_max = self.settings.hold_max();
+        let ended = self.refused.iter().any(|(known, _)| known == holder);
         let mut lost = false;
         for held in &mut self.ranges {
             let same = held.epoch == epoch && held.range.intersection(range).is_some();
-            let RangeState::Held { renew_at, in_flight } = &mut held.state else { continue };
             if !same || held.holder.as_ref() != Some(holder) {
                 continue;
             }
-            *in_flight = false;
+            held.in_flight = false;
+            let RangeState::Held { renew_at } = &mut held.state else { continue };
             match outcome {
+                // The holder has ended, and the last grant that could reach its successor did not.
+                GrantOutcome::NotDelivered | GrantOutcome::Refused if ended => {
+                    held.state = RangeState::Vacant { free_from: now, to: None };
+                }
                 GrantOutcome::Held => {
                     *renew_at = sent_at + renew;
                     held.confirmed_expires = held.confirmed_expires.max(now + hold_max);
@@ -234,28 +242,22 @@
     ) {
         let retry = self.settings.retry_interval;
         for held in &mut self.ranges {
-            if held.range != range || held.holder.as_ref() != Some(holder) {
+            let RangeState::Releasing(release) = &mut held.state else { continue };
+            if held.range != range || release.from != *holder || release.epoch != epoch {
                 continue;
             }
-            let RangeState::Releasing { epoch: asked, to, ask_at, in_flight } = &mut held.state
-            else {
-                continue;
-            };
-            if *asked != epoch {
-                continue;
-            }
-            *in_flight = false;
+            release.in_flight = false;
             match outcome {
                 ReleaseOutcome::Released { handover } => {
                     held.handover = handover.clone();
-                    let to = to.take();
+                    let to = release.to.take();
                     held.state = RangeState::Vacant { free_from: now, to };
                 }
                 ReleaseOutcome::Replaced => {
-                    let to = to.take();
+                    let to = release.to.take();
                     held.state = RangeState::Vacant { free_from: now, to };
                 }
-                ReleaseOutcome::Refused | ReleaseOutcome::Unknown => *ask_at = now + retry,
+                ReleaseOutcome::Refused | ReleaseOutcome::Unknown => release.ask_at = now + retry,
             }
         }
     }
@@ -269,20 +271,21 @@
         for held in &mut self.ranges {
             let included = stored.contains(&(held.range, held.epoch));
             if included && held.state == RangeState::Storing {
-                held.state = RangeState::Held { renew_at: now, in_flight: false };
+                held.state = RangeState::Held { renew_at: now };
             }
         }
     }
 
-    /// Takes sure evidence that the process of a holder has ended.
+    /// Takes sure evidence that the process of a holder has ended. A range with a grant on its way
+    /// waits for its outcome, because a next process of the target may accept it.
     pub fn on_ended(&mut self, now: Instant, holder: &Holder) {
         self.refused.push((holder.clone(), now + REFUSED_PAUSE));
         for held in &mut self.ranges {
             let live = matches!(
                 held.state,
-                RangeState::Held { .. } | RangeState::Releasing { .. } | RangeState::Vacant { .. }
+                RangeState::Held { .. } | RangeState::Releasing(_) | RangeState::Vacant { .. }
             );
-            if live && held.holder.as_ref() == Some(holder) {
+            if live && !held.in_flight && held.keeper() == Some(holder) {
                 held.state = RangeState::Vacant { free_from: now, to: None };
             }
         }
@@ -294,24 +297,30 @@
             let held = &self.ranges[index];
             let Some(holder) = &held.holder else { continue };
             let life = self.members.iter().find(|member| member.holder.target == holder.target);
-            let restarted =
-                life.is_some_and(|member| member.holder.incarnation > holder.incarnation);
+            let restarted = life
+                .map(|member| &member.holder)
+                .filter(|present| present.incarnation > holder.incarnation)
+                .cloned();
             let (present, expires) = (life.is_some(), held.expires);
-            let state = match &held.state {
-                RangeState::Held { .. } | RangeState::Releasing { .. } if restarted => {
-                    Some(RangeState::Vacant { free_from: now, to: None })
+            let state = match (&held.state, restarted) {
+                (RangeState::Held { .. }, Some(successor)) => {
+                    Some(RangeState::Releasing(self.release_again(now, successor, None)))
+                }
+                (RangeState::Releasing(release), Some(successor)) if release.from != successor => {
+                    let to = release.to.clone();
+                    Some(RangeState::Releasing(self.release_again(now, successor, to)))
                 }
-                RangeState::Held { .. } if !present => {
+                (RangeState::Held { .. }, None) if !present => {
                     Some(RangeState::Vacant { free_from: expires, to: None })
                 }
-                RangeState::Releasing { to, .. } if now >= expires => {
-                    Some(RangeState::Vacant { free_from: now, to: to.clone() })
+                (RangeState::Releasing(release), _) if now >= expires => {
+                    Some(RangeState::Vacant { free_from: now, to: release.to.clone() })
                 }
                 // The entry of a live target came back before its keys went elsewhere.
-                RangeState::Vacant { free_from, to: None }
-                    if present && !restarted && now < *free_from =>
+                (RangeState::Vacant { free_from, to: None }, None)
+                    if present && now < *free_from =>
                 {
-                    Some(RangeState::Held { renew_at: now, in_flight: false })
+                    Some(RangeState::Held { renew_at: now })
                 }
                 _ => None,
             };
@@ -321,15 +330,24 @@
         }
     }
 
+    /// Asks the process that follows a holder to give a range up. A new process holds nothing, but a
+    /// grant names the target and not its process: one that was sent before the registration of the
+    /// new process arrived is accepted by it.
+    fn release_again(&mut self, now: Instant, successor: Holder, to: Option<Holder>) -> Release {
+        Release::new(now, successor, self.take_epoch(), to)
+    }
+
     fn release_leaving(&mut self, now: Instant) {
+        if !self.members.iter().any(|member| self.is_eligible(member)) {
+            return;
+        }
+        let leaving = self.members.iter().filter(|member| member.leaving);
+        let leaving: Vec<Holder> = leaving.map(|member| member.holder.clone()).collect();
         for index in 0..self.ranges.len() {
-            let held = &self.ranges[index];
-            let leaving =
-                self.members.iter().any(|member| member.leaving && held.is_held_by(&member.holder));
-            if leaving && self.members.iter().any(|member| self.is_eligible(member)) {
-                let epoch = self.take_epoch();
-                self.ranges[index].state =
-                    RangeState::Releasing { epoch, to: None, ask_at: now, in_flight: false };
+            let from = leaving.iter().find(|holder| self.ranges[index].is_held_by(holder)).cloned();
+            if let Some(from) = from {
+                let release = Release::new(now, from, self.take_epoch(), None);
+                self.ranges[index].state = RangeState::Releasing(release);
             }
         }
     }
@@ -341,9 +359,10 @@
         self.balance_at = now + self.settings.balance_interval;
         self.fast.decay(now);
         self.slow.decay(now);
-        let moving = self.ranges.iter().filter(|held| {
-            matches!(held.state, RangeState::Releasing { .. } | RangeState::Storing)
-        });
+        let moving = self
+            .ranges
+            .iter()
+            .filter(|held| matches!(held.state, RangeState::Releasing(_) | RangeState::Storing));
         let free = self.settings.moves_max.saturating_sub(moving.count());
         let mut moves = Balancer::new(&self.fast, self.owned()).moves(free);
         if moves.is_empty() {
@@ -392,8 +411,8 @@
         let whole = self.ranges.remove(found);
         self.ranges.extend(whole.range.below(next.range).map(|range| whole.part(range)));
         self.ranges.extend(whole.range.above(next.range).map(|range| whole.part(range)));
-        let to = Some(next.to.clone());
-        let state = RangeState::Releasing { epoch, to, ask_at: now, in_flight: false };
+        let release = Release::new(now, next.from.clone(), epoch, Some(next.to.clone()));
+        let state = RangeState::Releasing(release);
         self.ranges.push(HeldRange { state, ..whole.part(next.range) });
         self.sort();
     }
@@ -478,6 +497,7 @@
             self.ranges.push(HeldRange {
                 holder: Some(member.holder),
                 epoch,
+                in_flight: false,
                 state: RangeState::Storing,
                 ..held.part(range)
             });
@@ -510,10 +530,10 @@
         let mut orders = Vec::new();
         for held in &mut self.ranges {
             match (&mut held.state, &held.holder) {
-                (RangeState::Held { renew_at, in_flight }, Some(holder))
-                    if !*in_flight && now >= *renew_at =>
+                (RangeState::Held { renew_at }, Some(holder))
+                    if !held.in_flight && now >= *renew_at =>
                 {
-                    *in_flight = true;
+                    held.in_flight = true;
                     held.expires = held.expires.max(now + call_timeout + hold_max);
                     orders.push(Order::Grant {
                         holder: holder.clone(),
@@ -532,12 +552,10 @@
     fn releases(&mut self, now: Instant) -> Vec<Order> {
         let mut orders = Vec::new();
         for held in &mut self.ranges {
-            match (&mut held.state, &held.holder) {
-                (RangeState::Releasing { epoch, ask_at, in_flight, .. }, Some(holder))
-                    if !*in_flight && now >= *ask_at =>
-                {
-                    *in_flight = true;
-                    let (holder, epoch) = (holder.clone(), *epoch);
+            match &mut held.state {
+                RangeState::Releasing(release) if !release.in_flight && now >= release.ask_at => {
+                    release.in_flight = true;
+                    let (holder, epoch) = (release.from.clone(), release.epoch);
                     orders.push(Order::Release { holder, range: held.range, epoch });
                 }
                 _ => {}
--- a/crates/ranges/src/held_range.rs
+++ b/crates/ranges/src/held_range.rs
@@ -4,15 +4,16 @@
 
 use wagtailmoor_core::{Epoch, Instant};
 
+use crate::release::Release;
 use crate::{Holder, KeyRange};
 
 /// What happens to a range.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum RangeState {
     /// The holder keeps it; the grant is renewed at this instant.
-    Held { renew_at: Instant, in_flight: bool },
-    /// The holder was asked to give it up under this epoch.
-    Releasing { epoch: Epoch, to: Option<Holder>, ask_at: Instant, in_flight: bool },
+    Held { renew_at: Instant },
+    /// A process is asked to give it up.
+    Releasing(Release),
     /// Nobody may hold it from an instant on, and it needs an owner.
     Vacant { free_from: Instant, to: Option<Holder> },
     /// The next owner is being stored.
@@ -30,6 +31,8 @@
     pub(crate) expires: Instant,
     /// The same without the grant that is in flight, in case it is not delivered.
     pub(crate) confirmed_expires: Instant,
+    /// Whether a grant under this epoch awaits its answer.
+    pub(crate) in_flight: bool,
     /// State that the last holder left, for the next grant.
     pub(crate) handover: Option<Arc<str>>,
     pub(crate) state: RangeState,
@@ -44,6 +47,7 @@
             epoch: Epoch::default(),
             expires: free_from,
             confirmed_expires: free_from,
+            in_flight: false,
             handover: None,
             state: RangeState::Vacant { free_from, to: None },
         }
@@ -58,7 +62,7 @@
     }
 
     fn is_at_rest(&self) -> bool {
-        matches!(self.state, RangeState::Held { in_flight: false, .. }) && self.handover.is_none()
+        matches!(self.state, RangeState::Held { .. }) && !self.in_flight && self.handover.is_none()
     }
 
     /// Returns a part of this range with the same history.
@@ -66,6 +70,14 @@
         Self { range, ..self.clone() }
     }
 
+    /// Returns the process that may hold the range at present.
+    pub(crate) fn keeper(&self) -> Option<&Holder> {
+        match &self.state {
+            RangeState::Releasing(release) => Some(&release.from),
+            _ => self.holder.as_ref(),
+        }
+    }
+
     pub(crate) fn is_held_by(&self, holder: &Holder) -> bool {
         matches!(self.state, RangeState::Held { .. }) && self.holder.as_ref() == Some(holder)
     }
--- a/crates/ranges/src/lib.rs
+++ b/crates/ranges/src/lib.rs
@@ -19,6 +19,7 @@
 mod member;
 mod order;
 mod range_share;
+mod release;
 
 pub use assignment::Assignment;
 pub use assignment_table::AssignmentTable;
--- a/crates/ranges/tests/schedules.rs
+++ b/crates/ranges/tests/schedules.rs
@@ -11,6 +11,9 @@
 /// Runs in CI; `WAGTAILMOOR_SEEDS` sets another number.
 const SEEDS: u64 = 300;
 
+/// Seeds in which a fault put in by hand must show; most show within the first 30.
+const MUTATION_SEEDS: u64 = 3_000;
+
 const SPAN: Duration = Duration::from_secs(60);
 
 /// Time without faults at the end: a lease, a hold and some retries.
@@ -28,7 +31,7 @@
     for seed in seeds(seed_count()) {
         let mut world = World::new(seed, Mutation::None);
         world.run(SPAN, CALM);
-        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.violations.first(), None, "seed {seed}");
         moves += world.moves;
     }
     assert!(moves > seed_count(), "the schedules move keys");
@@ -56,8 +59,10 @@
 #[case(Mutation::BelievesRefusals)]
 #[case(Mutation::IgnoresVersions)]
 #[case(Mutation::LeavesTable)]
+#[case(Mutation::TakesRestartsForEnds)]
+#[case(Mutation::StaysAfterConflict)]
 fn faults_put_in_by_hand_are_found(#[case] mutation: Mutation) {
-    let found = seeds(SEEDS).any(|seed| {
+    let found = seeds(MUTATION_SEEDS).any(|seed| {
         let mut world = World::new(seed, mutation);
         world.run(SPAN, CALM);
         !world.violations.is_empty()
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use fake_target::FakeTarget;
+use fake_target::{FakeTarget, Held};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use wagtailmoor_core::{Epoch, Instant, ShardKey};
+use wagtailmoor_core::{Epoch, Incarnation, Instant, ShardKey};
 use wagtailmoor_ranges::{
     AssignmentTable, Authority, EndedTargets, GrantOutcome, Granter, GranterSettings, Holder,
     KeyRange, Member, Order, ReleaseOutcome, StoreOutcome,
@@ -42,6 +42,10 @@
     LeavesTable,
     /// The table is written without regard to other writers.
     IgnoresVersions,
+    /// The registration of a new process counts as proof that its target holds nothing.
+    TakesRestartsForEnds,
+    /// A leader whose write was beaten goes on without a look at the leader's row.
+    StaysAfterConflict,
 }
 
 /// An order on its way.
@@ -58,6 +62,8 @@
     arrives: Option<Instant>,
     /// Carried out this much after its arrival, without an answer.
     delayed: Option<Duration>,
+    /// The process of the target that took the order.
+    taken_by: Option<Incarnation>,
     answered: bool,
 }
 
@@ -85,8 +91,8 @@
     row: usize,
     flights: Vec<Flight>,
     store_down_until: Instant,
-    /// Highest epoch under which a key was held, with its holder.
-    last: Vec<Option<(Epoch, Holder)>>,
+    /// How each key was held last.
+    last: Vec<Option<Held>>,
     pub(crate) violations: Vec<String>,
     /// Since when each key has no owner.
     unowned_since: Vec<Option<Instant>>,
@@ -145,6 +151,8 @@
 
     fn fault(&mut self) {
         let now = self.now;
+        let listing_delay = Duration::from_millis(self.random.random_range(0..3_000));
+        let moved = self.random.random_bool(0.3);
         let count = self.targets.len();
         let index = self.random.random_range(0..count);
         let span = Duration::from_millis(self.random.random_range(200..9_000));
@@ -152,8 +160,8 @@
         let up = self.targets.iter().filter(|target| target.up && !target.leaving).count();
         let target = &mut self.targets[index];
         match self.random.random_range(0..2_000) {
-            0..4 if up > 2 => target.crash(),
-            4..30 if !target.up => target.restart(),
+            0..4 if up > 2 => target.crash(now + listing_delay),
+            4..30 if !target.up => target.restart(now + listing_delay / 3, moved),
             30..36 if now >= target.cut_until => {
                 // What cuts a single target off drops its packets; see the limits in the design.
                 target.cut_until = now + span;
@@ -184,8 +192,9 @@
     }
 
     fn heal(&mut self) {
+        let now = self.now;
         for target in self.targets.iter_mut().filter(|target| !target.up) {
-            target.restart();
+            target.restart(now, false);
         }
         self.targets.iter_mut().for_each(|target| {
             target.cut_until = Instant::default();
@@ -206,6 +215,7 @@
     /// Renews or passes on the lead, and carries out what the leaders order.
     fn lead(&mut self, calm: bool) {
         let now = self.now;
+        self.targets.iter_mut().for_each(|target| target.follow_registry(now));
         for index in 0..self.leaders.len() {
             if now < self.leaders[index].frozen_until {
                 continue;
@@ -224,7 +234,10 @@
                 self.take_lead(index);
             }
             match now < self.leaders[index].authority.until {
-                true => self.tick(index),
+                true => {
+                    self.restart_granter(index);
+                    self.tick(index);
+                }
                 false => self.leaders[index].granter = None,
             }
         }
@@ -239,18 +252,33 @@
             Mutation::IgnoresOtherLeader => now,
             _ => other_until.unwrap_or(now).max(now),
         };
-        let authority = Authority { until: now + LEASE, sole_from };
-        let settings = self.settings();
-        let granter = Granter::new(now, settings, authority, self.table.as_ref());
+        self.leaders[index].authority = Authority { until: now + LEASE, sole_from };
+        self.row = index;
+        self.start_granter(index);
+    }
+
+    /// Starts a granter that ended because another process wrote the table, if the leader's row
+    /// still names this process.
+    fn restart_granter(&mut self, index: usize) {
+        let named = self.row == index || self.mutation == Mutation::StaysAfterConflict;
+        match self.leaders[index].granter {
+            None if self.store_up() && named => self.start_granter(index),
+            None if self.store_up() => self.leaders[index].authority.until = self.now,
+            _ => {}
+        }
+    }
+
+    /// Starts a granter from the table, as the shell does when it has none.
+    fn start_granter(&mut self, index: usize) {
+        let authority = self.leaders[index].authority;
+        let granter = Granter::new(self.now, self.settings(), authority, self.table.as_ref());
         // The shell writes the table back before it acts, so that a leader before cannot write.
         if self.mutation != Mutation::LeavesTable {
             self.version += 1;
         }
         let leader = &mut self.leaders[index];
-        leader.authority = authority;
         leader.granter = Some(granter);
         leader.version = self.version;
-        self.row = index;
     }
 
     fn settings(&self) -> GranterSettings {
@@ -269,11 +297,16 @@
         let now = self.now;
         let members = self.members();
         let keys = KEYS.map(|key| (ShardKey::new(key), self.random.random_range(0..3)));
+        let believed = match self.mutation {
+            Mutation::TakesRestartsForEnds => self.earlier_processes(),
+            _ => Vec::new(),
+        };
         let leader = &mut self.leaders[index];
         let ended = leader.ended.take_ended();
         let authority = leader.authority;
         let Some(granter) = &mut leader.granter else { return };
         granter.set_authority(authority);
+        believed.iter().for_each(|holder| granter.on_ended(now, holder));
         granter.set_members(now, members);
         ended.iter().for_each(|holder| granter.on_ended(now, holder));
         keys.iter().for_each(|(key, requests)| granter.add_load(*key, *requests));
@@ -283,16 +316,29 @@
         }
     }
 
+    /// Returns the processes before those that the registry lists.
+    fn earlier_processes(&self) -> Vec<Holder> {
+        let listed = self.targets.iter().filter_map(|target| target.listed.clone());
+        listed
+            .map(|holder| {
+                let incarnation = Incarnation::new(holder.incarnation.get() - 1);
+                Holder { incarnation, ..holder }
+            })
+            .collect()
+    }
+
     /// What the registry lists.
     fn members(&self) -> Vec<Member> {
         let now = self.now;
-        let listed = self.targets.iter().filter(|target| target.up && now >= target.unlisted_until);
+        let listed = self.targets.iter().filter(|target| now >= target.unlisted_until);
         listed
-            .map(|target| Member {
-                holder: target.holder.clone(),
-                capacity: 2.0,
-                eligible: !target.leaving,
-                leaving: target.leaving,
+            .filter_map(|target| {
+                Some(Member {
+                    holder: target.listed.clone()?,
+                    capacity: 2.0,
+                    eligible: !target.leaving,
+                    leaving: target.leaving,
+                })
             })
             .collect()
     }
@@ -308,7 +354,9 @@
         let expected = self.leaders[leader].version;
         let (sent, answered) = (now, false);
         let write = self.random.random();
-        let flight = Flight { leader, order, write, expected, sent, arrives, delayed, answered };
+        let taken_by = None;
+        let flight =
+            Flight { leader, order, write, expected, sent, arrives, delayed, taken_by, answered };
         self.flights.push(flight);
     }
 
@@ -318,6 +366,9 @@
         for mut flight in flights {
             let arrived = flight.arrives.is_some_and(|at| at <= now);
             let timed_out = now >= flight.sent + CALL_TIMEOUT;
+            if arrived && flight.taken_by.is_none() {
+                flight.taken_by = self.taker_of(&flight.order);
+            }
             let keep = match (arrived, flight.delayed) {
                 (true, None) => {
                     self.carry_out(&flight);
@@ -345,6 +396,17 @@
         self.targets.iter_mut().find(|target| target.holder.target == holder.target)
     }
 
+    /// Returns the process that takes an order.
+    fn taker_of(&mut self, order: &Order) -> Option<Incarnation> {
+        match order {
+            Order::Grant { holder, .. } | Order::Release { holder, .. } => {
+                let target = self.target(holder)?;
+                target.takes_orders_to(holder).then_some(target.holder.incarnation)
+            }
+            Order::Store { .. } => None,
+        }
+    }
+
     /// Carries an order out and answers it.
     fn carry_out(&mut self, flight: &Flight) {
         let now = self.now;
@@ -356,13 +418,13 @@
             Order::Release { holder, range, epoch } => {
                 let Some(target) = self.target(holder) else { return };
                 let reached = now >= target.cut_until;
-                let outcome = match target.up && target.holder == *holder && reached {
-                    true => {
+                let outcome = match target.takes_orders_to(holder) {
+                    true if target.up && reached => {
                         target.release(*range, *epoch);
                         ReleaseOutcome::Released { handover: Some("state".into()) }
                     }
-                    false if reached && target.holder != *holder => ReleaseOutcome::Replaced,
-                    false => ReleaseOutcome::Unknown,
+                    false if reached => ReleaseOutcome::Replaced,
+                    _ => ReleaseOutcome::Unknown,
                 };
                 let granter = self.leaders[flight.leader].granter.as_mut();
                 if let Some(granter) = granter {
@@ -394,8 +456,8 @@
             _ if now < target.cut_until && target.cut_refuses => GrantOutcome::Refused,
             _ if now < target.cut_until => GrantOutcome::NotDelivered,
             _ if !target.up => GrantOutcome::Refused,
-            _ if target.holder != *holder => GrantOutcome::Replaced,
-            _ if target.grant(now, range, epoch, hold) => GrantOutcome::Held,
+            _ if !target.takes_orders_to(holder) => GrantOutcome::Replaced,
+            _ if target.grant(now, holder, range, epoch, hold) => GrantOutcome::Held,
             _ => GrantOutcome::Fenced,
         }
     }
@@ -425,8 +487,10 @@
             Order::Grant { holder, range, epoch, hold, .. } => {
                 let now = self.now;
                 let Some(target) = self.target(holder) else { return };
-                if target.up && target.holder == *holder && now >= target.cut_until {
-                    target.grant(arrived, *range, *epoch, *hold);
+                // An order that waits in a process ends with it.
+                let same = Some(target.holder.incarnation) == flight.taken_by;
+                if target.up && same && now >= target.cut_until {
+                    target.grant(arrived, holder, *range, *epoch, *hold);
                 }
             }
             Order::Store { table } => {
@@ -487,19 +551,14 @@
         for (position, key) in KEYS.into_iter().enumerate() {
             let key = ShardKey::new(key);
             let now = self.now;
-            let held = self.targets.iter().filter_map(|target| {
-                target.holds(now, key).map(|epoch| (epoch, target.holder.clone()))
-            });
-            let held: Vec<(Epoch, Holder)> = held.collect();
+            let held = self.targets.iter().filter_map(|target| target.holds(now, key));
+            let held: Vec<Held> = held.collect();
             if held.len() > 1 {
                 self.violations.push(format!("{} us: key {key} held by {held:?}", now.as_us()));
             }
             match (held.first(), &self.last[position]) {
-                (Some((epoch, holder)), Some((last, other)))
-                    if holder != other && epoch <= last =>
-                {
-                    let text = format!("key {key}: {holder} under {epoch} after {other} {last}");
-                    self.violations.push(text);
+                (Some(found), Some(last)) if !follows(found, last) => {
+                    self.violations.push(format!("key {key}: {found:?} after {last:?}"));
                 }
                 (Some(found), _) => self.last[position] = Some(found.clone()),
                 (None, _) => {}
@@ -514,6 +573,17 @@
     }
 }
 
+/// Returns whether a hold may follow another one of the same key. Epochs rise from one process to
+/// the next, but for a grant to the process before: its target takes it for its own.
+fn follows(found: &Held, last: &Held) -> bool {
+    let same_target = found.holder.target == last.holder.target;
+    match found.holder == last.holder {
+        true => true,
+        false if found.stray && same_target => found.epoch >= last.epoch,
+        false => found.epoch > last.epoch,
+    }
+}
+
 /// Draws a seed for each of several runs.
 pub(crate) fn seeds(count: u64) -> impl Iterator<Item = u64> {
     let mut random = ChaCha8Rng::seed_from_u64(0x5eed);
--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -78,7 +78,8 @@
         Some(owners) => match write_owners(shared, table, back_end, owners, version).await {
             // From here on a leader before this one cannot change owners any more.
             WriteOutcome::Done(versions) => versions.first().copied().unwrap_or_default(),
-            WriteOutcome::Conflict { .. } | WriteOutcome::Unknown => return,
+            WriteOutcome::Conflict { .. } => return shared.write().lease.doubt(),
+            WriteOutcome::Unknown => return,
         },
     };
     let now = shared.now();
@@ -317,8 +318,11 @@
         .field("outcome", format!("{outcome:?}"))
         .info();
     match (outcome, state.granters.get_mut(back_end)) {
-        // Another process stored owners: what this granter believes is void.
-        (StoreOutcome::Conflict, _) => drop(state.granters.remove(back_end)),
+        // Another process stored owners: what this granter believes is void, and the process may lead.
+        (StoreOutcome::Conflict, _) => {
+            state.granters.remove(back_end);
+            state.lease.doubt();
+        }
         (outcome, Some(granter)) => granter.on_store(now, outcome),
         (_, None) => {}
     }
--- a/crates/router/src/leader_lease.rs
+++ b/crates/router/src/leader_lease.rs
@@ -85,6 +85,8 @@
     lapsed: Option<RowVersion>,
     authority: Authority,
     leads: bool,
+    /// Whether another process may have replaced the row since the last renewal.
+    doubted: bool,
 }
 
 impl LeaderLease {
@@ -112,12 +114,13 @@
             lapsed: None,
             authority: Authority::default(),
             leads: false,
+            doubted: false,
         }
     }
 
     /// Returns for how long this process may act as the leader, if it does.
     pub fn authority(&self, now: Instant) -> Option<Authority> {
-        (self.leads && now < self.authority.until).then_some(self.authority)
+        (self.leads && !self.doubted && now < self.authority.until).then_some(self.authority)
     }
 
     /// Returns whether this process leads and cannot renew its lease.
@@ -130,6 +133,12 @@
         self.leads = false;
     }
 
+    /// Notes that another process wrote what only the leader writes. This process acts again after its
+    /// next renewal, which fails if the row was replaced.
+    pub fn doubt(&mut self) {
+        self.doubted = self.leads;
+    }
+
     /// Notes that the node which the row names said that it does not act as the leader under the
     /// version of the row that it knew. It may have taken the lead again with a newer version.
     pub fn note_lapsed(&mut self, node: &NodeId, version: RowVersion) {
@@ -176,7 +185,9 @@
             self.leads = false;
         }
         match self.leads {
-            true if now >= self.write_sent + RENEW_INTERVAL => Some(self.renew(now)),
+            true if self.doubted || now >= self.write_sent + RENEW_INTERVAL => {
+                Some(self.renew(now))
+            }
             true => None,
             false if leader_answers => None,
             false => self.watch(now),
@@ -239,6 +250,7 @@
         self.lapsed = None;
         self.authority.until = self.write_sent + LEASE;
         self.leads = !row.resigned;
+        self.doubted = false;
         self.own = row;
     }
 
--- a/crates/router/tests/leader_lease.rs
+++ b/crates/router/tests/leader_lease.rs
@@ -139,6 +139,25 @@
     }
 }
 
+// Guards against two granters that fight over the owners: a leader whose write was beaten went on,
+// though the leader's row already named another process, and moved keys that the other one renewed
+// (schedule 9226037279438407315 of the ranges).
+#[test]
+fn a_doubted_lead_acts_again_only_after_a_renewal() {
+    let (mut now, mut row) = (Instant::from_us(1_000_000), FakeRow::default());
+    let (mut first, mut second) = (lease("n1", 1), lease("n2", 1));
+    run(&mut now, &mut first, &mut row, Duration::from_secs(3));
+    first.doubt();
+    assert!(first.authority(now).is_none());
+    run(&mut now, &mut first, &mut row, STEP);
+    assert!(first.authority(now).is_some(), "the row still named it");
+    run(&mut now, &mut second, &mut row, Duration::from_millis(3_500));
+    assert!(second.authority(now).is_some(), "the row was abandoned");
+    first.doubt();
+    run(&mut now, &mut first, &mut row, STEP);
+    assert!(first.authority(now).is_none(), "the row was replaced");
+}
+
 // Guards against two processes that may move keys at the same time, under lost answers, late
 // writes, old words of the lead and processes that stand still.
 #[test]
@@ -167,6 +186,9 @@
                 if now < frozen[index] {
                     continue;
                 }
+                if random.random_bool(0.01) {
+                    leases[index].doubt();
+                }
                 let hears = random.random_bool(0.5);
                 match leases[index].tick(now, hears) {
                     // The call is lost, or takes effect now or later without an answer.
