Let only the leader follow the store, and wait at other nodes before the store is asked

Change: the leader follows the store, the relay of a zone waits at the leader, other nodes at their relay. Series of changes are fetched every 200 ms. The choice is a type of its own, ChangeSource, without I/O.

--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -12,7 +12,6 @@
 use wagtailmoor_store::{ChangeFeed, FeedError, FeedPage, FeedRow, PackedPage, StoredRow};
 use wagtailmoor_telemetry::Event;
 
-use crate::row_source;
 use crate::site_decoder::{OperatorChange, SiteDecoder};
 use crate::state::Shared;
 use crate::stats::Stats;
@@ -22,13 +21,17 @@
 
 /// Longest wait for a change of what operators and targets write. A connection may go silent for
 /// good, and other nodes rely on this one; only an answer shows that it still hears of changes.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_millis(500);
 
 /// The same for owners; a request to a former owner is refused and finds the new one later.
 const RANGES_WAIT: Duration = Duration::from_secs(4);
 
-/// Pause between calls, so that a series of changes comes in one answer.
-const CHANGE_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between calls, so that a series of changes comes in one answer. Cold targets change their
+/// entries with every heartbeat.
+const CHANGE_PAUSE: Duration = Duration::from_millis(200);
+
+/// The same for owners: requests wait for the next owner of a key.
+const RANGES_CHANGE_PAUSE: Duration = Duration::from_millis(60);
 
 /// Time between looks at whether this node is to follow the store.
 const SOURCE_PAUSE: Duration = Duration::from_millis(100);
@@ -36,8 +39,11 @@
 /// Pause after a call that failed, doubled by each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Longest pause between calls that fail.
-const RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// Longest pause between calls of a relay that fail; its zone waits for it.
+const RELAY_RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// The same on other nodes, of which there are many.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(2_000);
 
 /// Failures in a row after which the store counts as out of reach.
 const FAILURES_TO_DOWN: u32 = 2;
@@ -51,9 +57,12 @@
 ) {
     let mut after: Option<RowVersion> = None;
     let mut failures = 0;
-    let wait = if table == RANGES_TABLE { RANGES_WAIT } else { WAIT };
+    let (wait, change_pause) = match table {
+        RANGES_TABLE => (RANGES_WAIT, RANGES_CHANGE_PAUSE),
+        _ => (WAIT, CHANGE_PAUSE),
+    };
     loop {
-        if !row_source::follows_store(&shared, shared.now()) {
+        if !shared.read().follows_store(shared.now()) {
             failures = 0;
             shared.write().store_down = false;
             sleep(SOURCE_PAUSE).await;
@@ -79,7 +88,7 @@
                 }
                 after = Some(page.version);
                 apply(&shared, &*decoder, table, PackedPage::pack(page));
-                sleep(CHANGE_PAUSE).await;
+                sleep(change_pause).await;
             }
             Err(FeedError::HistoryLost) => {
                 Event::new("history-lost").field("table", table).warn();
@@ -97,7 +106,11 @@
 
 /// The pause varies at random, so that nodes do not return all at once.
 fn pause(shared: &Shared, failures: u32) -> Duration {
-    let longest = (RETRY_PAUSE * 2u32.saturating_pow(failures.min(8))).min(RETRY_PAUSE_MAX);
+    let pause_max = match shared.read().source.is_relay() {
+        true => RELAY_RETRY_PAUSE_MAX,
+        false => RETRY_PAUSE_MAX,
+    };
+    let longest = (RETRY_PAUSE * 2u32.saturating_pow(failures.min(8))).min(pause_max);
     longest.mul_f64(shared.write().random.random_range(0.5..1.0))
 }
 
@@ -108,7 +121,7 @@
     state.tables_heard.insert(table, now);
     let heard = [S::OPERATOR_TABLE, S::TARGET_TABLE]
         .map(|table| state.tables_heard.get(table).copied().unwrap_or_default());
-    state.store_heard = state.store_heard.max(heard[0].min(heard[1]));
+    state.source.note_heard(heard[0].min(heard[1]));
 }
 
 fn note_failed(shared: &Shared, table: &str, failures: u32, cause: &str) {
@@ -123,7 +136,7 @@
 fn note_returned(shared: &Shared, table: &str) {
     let now = shared.now();
     let mut state = shared.write();
-    let away_ms = now.saturating_since(state.store_heard).as_millis();
+    let away_ms = state.source.age(now).as_millis();
     state.store_down = false;
     state.registry.store_returned(now);
     Event::new("store-regained").field("table", table).field("away_ms", away_ms).info();
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -10,7 +10,6 @@
 use wagtailmoor_telemetry::Event;
 
 use crate::leader_lease::{LeaderRow, LeaseAction};
-use crate::row_source;
 use crate::state::Shared;
 
 /// Name of the row that names the leader.
@@ -36,9 +35,7 @@
     let spread = shared.write().random.random_range(0.0..1.0);
     sleep(START_SPREAD.mul_f64(spread)).await;
     let mut led = false;
-    let own = shared.settings.address();
-    let late = shared.settings.first_start
-        && !row_source::is_candidate(&shared.read(), &own, &shared.settings.seeds);
+    let late = shared.settings.first_start && !shared.read().source.is_candidate();
     if late {
         sleep(LATE_START).await;
     }
@@ -47,7 +44,7 @@
         let now = shared.now();
         let action = {
             let mut state = shared.write();
-            let first = row_source::is_candidate(&state, &own, &shared.settings.seeds);
+            let first = state.source.is_candidate();
             let silence_max = if first { LEADER_SILENCE_MAX } else { LEADER_SILENCE_LONG };
             let heard = now.saturating_since(state.leader_heard) < silence_max;
             let answers = heard && !(first && state.lease.is_vacant());
@@ -82,11 +79,10 @@
 
 /// Finds out whether this node can lead, when the leader cannot renew its lease.
 async fn probe<T: Table>(shared: &Shared, table: &T) {
-    let own = shared.settings.address();
     let wanted = {
         let state = shared.read();
         let leads = state.lease.authority(shared.now()).is_some();
-        let first = row_source::is_candidate(&state, &own, &shared.settings.seeds);
+        let first = state.source.is_candidate();
         state.leader_troubled && first && !leads
     };
     if wanted {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admitted_shares;
 mod boot_clock;
+mod change_source;
 mod feeds;
 mod gateway;
 mod grant_loop;
@@ -14,6 +15,7 @@
 mod leader_loop;
 mod log_lines;
 mod metrics_page;
+mod node_address;
 mod node_settings;
 mod node_status;
 mod peer_link;
@@ -29,8 +31,10 @@
 mod target_control;
 
 pub use boot_clock::BootClock;
+pub use change_source::{ChangeSource, Lead};
 pub use gateway::CreditGuard;
 pub use leader_lease::{LeaderLease, LeaderRow, LeaseAction};
+pub use node_address::NodeAddress;
 pub use node_settings::{LimitBounds, NodeSettings};
 pub use node_status::{CustomerStatus, LeaderStatus, NodeStatus, RangeStatus, TargetStatus};
 pub use router::{Router, StartError, start};
--- a/crates/router/src/log_lines.rs
+++ b/crates/router/src/log_lines.rs
@@ -16,7 +16,7 @@
     let version = state.config.as_ref().map_or(ConfigVersion::default(), |config| config.version());
     event
         .field("config_version", version)
-        .field("store_age_ms", now.saturating_since(state.store_heard).as_millis())
+        .field("store_age_ms", state.source.age(now).as_millis())
         .field("leader_age_ms", now.saturating_since(state.leader_heard).as_millis())
 }
 
--- a/crates/router/src/node_settings.rs
+++ b/crates/router/src/node_settings.rs
@@ -5,7 +5,7 @@
 
 use wagtailmoor_core::{Incarnation, NodeId, PartsPerMillion, ZoneId};
 
-use crate::peer_service::NodeAddress;
+use crate::NodeAddress;
 
 /// Bounds that a site sets on what all nodes do together.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/router/src/node_status.rs
+++ b/crates/router/src/node_status.rs
@@ -114,7 +114,7 @@
             incarnation: settings.incarnation,
             ready: state.is_ready(),
             config_version: state.config.as_ref().map(|config| config.version()),
-            store_age_ms: millis(now.saturating_since(state.store_heard)),
+            store_age_ms: millis(state.source.age(now)),
             leader: leader(&state, now),
             owners_version: state.rows.version(RANGES_TABLE),
             ranges: state.tables.iter().flat_map(|(id, table)| ranges(id, table)).collect(),
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -1,16 +1,16 @@
 //! The `tarpc` service between router processes.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use snafu::Snafu;
 use wagtailmoor_admission::{CustomerUse, NodeAllowance, ServiceTime};
-use wagtailmoor_core::{BackEndId, NodeId, RowVersion, ShardKey, ZoneId};
+use wagtailmoor_core::{BackEndId, NodeId, RowVersion, ShardKey};
 use wagtailmoor_derive::value;
 use wagtailmoor_dispatch::SuspectReport;
 use wagtailmoor_ranges::RangeShare;
 use wagtailmoor_store::PackedPage;
 
+use crate::NodeAddress;
 use crate::leader_lease::LeaderRow;
 
 /// The node cannot answer because it stops.
@@ -19,16 +19,6 @@
 #[snafu(display("the node is stopping"))]
 pub(crate) struct Stopping;
 
-/// A node and where other nodes reach it.
-#[value]
-pub(crate) struct NodeAddress {
-    pub(crate) node: NodeId,
-    pub(crate) zone: ZoneId,
-    pub(crate) address: SocketAddr,
-    /// How much it can do for others, relative to other nodes.
-    pub(crate) capacity: u32,
-}
-
 /// Requests on keys of a back end.
 #[value]
 pub(crate) struct KeyCounts {
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -29,7 +29,7 @@
 /// Reports to the leader until the process ends.
 pub(crate) async fn report(shared: Shared, link: PeerLink) {
     loop {
-        let nodes = u32::try_from(shared.read().nodes.len()).unwrap_or(u32::MAX);
+        let nodes = u32::try_from(shared.read().source.nodes()).unwrap_or(u32::MAX);
         sleep(REPORT_INTERVAL_MIN.max(REPORT_INTERVAL_BY_NODE * nodes)).await;
         let now = shared.now();
         let leader = {
@@ -86,7 +86,7 @@
     state.leader_heard = now;
     if let Some(nodes) = reply.nodes {
         state.cold.set_nodes(nodes.iter().map(|node| node.node.clone()).collect());
-        state.nodes = nodes;
+        state.source.set_nodes(nodes);
         state.nodes_version = reply.nodes_version;
     }
     state.customers.take_answer(now, reply.allowances, reply.site_nodes);
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -17,11 +17,13 @@
 use wagtailmoor_ranges::{AssignmentTable, EndedTargets, Granter, RangeShare};
 use wagtailmoor_site::{Registry, SiteConfig};
 
+use crate::NodeAddress;
 use crate::admitted_shares::AdmittedShares;
 use crate::boot_clock::BootClock;
+use crate::change_source::{ChangeSource, Lead};
 use crate::leader_lease::LeaderLease;
 use crate::node_settings::NodeSettings;
-use crate::peer_service::{LeaderSeen, NodeAddress};
+use crate::peer_service::LeaderSeen;
 use crate::row_cache::RowCache;
 use crate::stats::Stats;
 
@@ -52,7 +54,6 @@
     pub(crate) budgets: SortedVec<BackEndId, RetryBudget>,
     pub(crate) key_counts: SortedVec<BackEndId, SortedVec<ShardKey, u32>>,
     pub(crate) rows: RowCache,
-    pub(crate) nodes: Vec<NodeAddress>,
     /// Version of the list of nodes; the leader raises it with each change.
     pub(crate) nodes_version: u64,
     pub(crate) lease: LeaderLease,
@@ -82,12 +83,10 @@
     pub(crate) store_reached: Instant,
     /// Whether the leader cannot renew its lease.
     pub(crate) leader_troubled: bool,
-    /// When a relay that follows the store last answered.
-    pub(crate) relay_heard: Instant,
     /// When the store last answered for each table.
     pub(crate) tables_heard: SortedVec<&'static str, Instant>,
-    /// Up to when this node knows what operators and targets wrote, from the store or a relay.
-    pub(crate) store_heard: Instant,
+    /// Where this node learns of changes, and how old what it knows is.
+    pub(crate) source: ChangeSource,
     pub(crate) store_down: bool,
     pub(crate) stopping: bool,
     pub(crate) random: SmallRng,
@@ -124,7 +123,8 @@
         };
         // Only when a whole site starts do all targets register at once, and each would wake every
         // node that waits at the store.
-        let relay_heard = if settings.first_start { now } else { Instant::default() };
+        let store_heard = if settings.first_start { now } else { Instant::default() };
+        let source = ChangeSource::new(settings.address(), settings.seeds.clone(), store_heard);
         let lease = LeaderLease::new(settings.node.clone(), settings.incarnation, settings.peers);
         let state = RouterState {
             config: None,
@@ -137,7 +137,6 @@
             budgets: SortedVec::new(),
             key_counts: SortedVec::new(),
             rows: RowCache::default(),
-            nodes: Vec::new(),
             nodes_version: 0,
             lease,
             admitted: AdmittedShares::default(),
@@ -154,9 +153,8 @@
             leader_heard: Instant::default(),
             store_reached: Instant::default(),
             leader_troubled: false,
-            relay_heard,
             tables_heard: SortedVec::new(),
-            store_heard: now,
+            source,
             store_down: false,
             stopping: false,
             random: SmallRng::seed_from_u64(seed),
@@ -188,6 +186,17 @@
 }
 
 impl RouterState {
+    /// Returns who leads, as this node knows it.
+    pub(crate) fn lead(&self, now: Instant) -> Lead {
+        let own = self.lease.authority(now).is_some();
+        Lead { own, address: self.lease.leader().map(|row| row.address) }
+    }
+
+    /// Returns whether this node is to follow the store itself.
+    pub(crate) fn follows_store(&self, now: Instant) -> bool {
+        self.source.follows_store(now, self.lead(now))
+    }
+
     /// Returns whether clients can be served.
     pub(crate) fn is_ready(&self) -> bool {
         !self.stopping && self.config.is_some()
