Send a request again to the owner of its key if that refused it with room to spare

Cause: a refusal by the owner of a key ended the request, since no other target can run it: the target was avoided for 60 ms and the retry waited for another owner. A lost idempotent request on a key was never tried again either. Change: only a target that said that it does not own the key makes the retry wait for another owner; a target that refuses while a slot is free is not avoided. Both are within the route's attempts and the retry budget. Owners are no longer read from the store by relays that hear the leader: 60 to 70 calls a second while the history was lost.

--- a/crates/admission/src/target_load.rs
+++ b/crates/admission/src/target_load.rs
@@ -17,6 +17,9 @@
 /// Time after which the requests of other nodes in a report are likely done.
 const REPORT_TIME_CONSTANT: Duration = Duration::from_millis(600);
 
+/// Time within which a key that its owner disowned is likely to move.
+const DISOWNED_FOR: Duration = Duration::from_millis(400);
+
 /// Time after which a failure is half forgotten without new evidence.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 
@@ -52,6 +55,7 @@
     failures: f64,
     failures_at: Instant,
     avoid_until: Instant,
+    disowned_until: Instant,
 }
 
 impl TargetLoad {
@@ -118,6 +122,21 @@
         now < self.avoid_until
     }
 
+    /// Takes that the target said that it does not own a key.
+    pub fn disowned(&mut self, now: Instant) {
+        self.disowned_until = now + DISOWNED_FOR;
+    }
+
+    /// Returns whether the target said just now that it does not own a key.
+    pub fn is_disowned(&self, now: Instant) -> bool {
+        now < self.disowned_until
+    }
+
+    /// Returns whether a request can run at once, as far as this node can tell.
+    pub fn has_room(&self, now: Instant, slots: u32) -> bool {
+        self.jobs(now) < f64::from(slots)
+    }
+
     /// Returns the requests of all nodes at the target, as far as this node can tell.
     pub fn jobs(&self, now: Instant) -> f64 {
         let age = now.saturating_since(self.reported).as_secs_f64();
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -45,6 +45,9 @@
 /// The same on other nodes, of which there are many. They hear of the store's return from their relay.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(2_500);
 
+/// A leader that was not heard of for this long does not pass on owners either.
+const LEADER_SILENCE_MAX: Duration = Duration::from_millis(1_000);
+
 /// Failures in a row after which the store counts as out of reach.
 const FAILURES_TO_DOWN: u32 = 2;
 
@@ -62,7 +65,7 @@
         _ => (WAIT, CHANGE_PAUSE),
     };
     loop {
-        if !shared.read().follows_store(shared.now()) {
+        if !is_followed(&shared, table) {
             failures = 0;
             shared.write().store_down = None;
             sleep(SOURCE_PAUSE).await;
@@ -109,6 +112,16 @@
     }
 }
 
+/// Returns whether this node is to follow a table itself. Owners come with the leader's rows as long
+/// as the leader is heard, also while it lacks the store.
+fn is_followed(shared: &Shared, table: &str) -> bool {
+    let now = shared.now();
+    let state = shared.read();
+    let hears_leader = now.saturating_since(state.leader_heard) < LEADER_SILENCE_MAX;
+    let others_tell = table == RANGES_TABLE && hears_leader && !state.lead(now).own;
+    state.follows_store(now) && !others_tell
+}
+
 /// The pause varies at random, so that nodes do not return all at once.
 fn pause(shared: &Shared, failures: u32) -> Duration {
     let pause_max = match shared.read().source.is_relay() {
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -228,13 +228,19 @@
         BackEndBudget { shared: Rc::clone(&self.shared), back_end: call.back_end.clone() }
     }
 
-    fn observe(&self, _call: &Call, target: &TargetId, seen: &Observation) {
+    fn observe(&self, call: &Call, target: &TargetId, seen: &Observation) {
         let now = self.now();
         let mut state = self.shared.write();
         let slots = state.registry.get(target).map_or(1, |known| known.slots.get());
         let load = state.picker.load(target);
         match seen {
             Observation::Answered { waited, .. } => load.answered(now, *waited, slots),
+            // A key has no other target, so an owner that refuses without need is tried again.
+            Observation::Refused { .. }
+                if call.shard_key.is_some() && load.has_room(now, slots) =>
+            {
+                load.failed(now);
+            }
             Observation::Refused { .. } => {
                 load.failed(now);
                 load.avoid(now + FULL_PAUSE);
@@ -277,7 +283,9 @@
     }
 
     fn disowned(&self, call: &Call, target: &TargetId, _ownership: Option<(SlotId, Epoch)>) {
+        let now = self.now();
         let mut state = self.shared.write();
+        state.picker.load(target).disowned(now);
         state.stats.count("disowned");
         let epoch = call
             .shard_key
@@ -410,7 +418,7 @@
             return Owner::Refuse(Reason::OwnerUnreachable);
         }
         // It said that it does not hold the key, so the key is on its way to another target.
-        if tried.contains(&target.target) {
+        if tried.contains(&target.target) && load.is_disowned(now) {
             return Owner::Wait(Reason::OwnerMoving);
         }
         let expected = load.expected(now, target.slots.get(), USUAL_LATENCY);
