--- a/crates/ranges/src/granter.rs
+++ b/crates/ranges/src/granter.rs
@@ -5,11 +5,12 @@
 use wagtailmoor_core::{Epoch, Instant, ShardKey, SortedVec, TargetId};
 
 use crate::held_range::{HeldRange, RangeState};
+use crate::range_list::RangeList;
 use crate::range_share::divide;
 use crate::release::Release;
 use crate::{
-    Assignment, AssignmentTable, Authority, Balancer, GrantOutcome, GranterSettings, Holder,
-    KeyLoad, KeyRange, Member, Move, Order, RangeShare, ReleaseOutcome, Room, StoreOutcome,
+    AssignmentTable, Authority, Balancer, GrantOutcome, GranterSettings, Holder, KeyLoad, KeyRange,
+    Member, Order, RangeShare, ReleaseOutcome, Room, StoreOutcome,
 };
 
 /// Time constant of the load that shows a hot range within a second.
@@ -21,10 +22,6 @@
 /// Time for which a target is passed over after its address refused a connection.
 const REFUSED_PAUSE: Duration = Duration::from_secs(4);
 
-/// Epochs that a new granter skips: an earlier one may have used one to release each range without
-/// storing it, and a row of the store has room for fewer ranges than this.
-const EPOCH_GAP: u64 = 4_096;
-
 /// Ranges for each member above which neighbours are joined. Ranges cost a renewal each and bytes
 /// in every copy of the table.
 const RANGES_BY_MEMBER: usize = 2;
@@ -47,8 +44,7 @@
     authority: Authority,
     /// Sorted by holder.
     members: Vec<Member>,
-    ranges: Vec<HeldRange>,
-    last_epoch: Epoch,
+    ranges: RangeList,
     storing: Option<Vec<(KeyRange, Epoch)>>,
     refused: Vec<(Holder, Instant)>,
     fast: KeyLoad,
@@ -73,12 +69,15 @@
         // An earlier granter may have renewed any of these up to the end of its authority.
         let last_arrival = authority.sole_from.max(now) + settings.call_timeout;
         let expires = last_arrival + settings.hold_max();
-        let mut granter = Self {
+        let ranges = match stored {
+            Some(table) => RangeList::from_table(now, expires, table),
+            None => RangeList::unassigned(now),
+        };
+        Self {
             settings,
             authority,
             members: Vec::new(),
-            ranges: Vec::new(),
-            last_epoch: Epoch::default(),
+            ranges,
             storing: None,
             refused: Vec::new(),
             fast: KeyLoad::new(now, FAST_LOAD),
@@ -89,29 +88,7 @@
             store_at: now,
             members_changed: now,
             started: now,
-        };
-        match stored {
-            Some(table) => granter.adopt(now, expires, table),
-            None => granter.ranges.push(HeldRange::unassigned(KeyRange::ALL, now)),
         }
-        granter
-    }
-
-    fn adopt(&mut self, now: Instant, expires: Instant, table: &AssignmentTable) {
-        let held = table.iter().map(|assignment| HeldRange {
-            range: assignment.range,
-            holder: Some(assignment.holder.clone()),
-            epoch: assignment.epoch,
-            expires,
-            confirmed_expires: expires,
-            handover: None,
-            in_flight: false,
-            state: RangeState::Held { renew_at: now },
-        });
-        let gaps = table.gaps().into_iter().map(|range| HeldRange::unassigned(range, expires));
-        self.ranges = held.chain(gaps).collect();
-        self.sort();
-        self.last_epoch = Epoch::new(table.last_epoch().get() + EPOCH_GAP);
     }
 
     /// Takes for how long this process may act.
@@ -136,14 +113,7 @@
 
     /// Returns the table as it is to be stored.
     pub fn table(&self) -> AssignmentTable {
-        let mut table = AssignmentTable::default();
-        for held in &self.ranges {
-            if let Some(holder) = held.holder.clone() {
-                table.insert(Assignment { range: held.range, holder, epoch: held.epoch });
-            }
-        }
-        table.raise_epoch(self.last_epoch);
-        table
+        self.ranges.table()
     }
 
     /// Returns the ranges on which more requests arrive than their owners can run in time, given
@@ -198,7 +168,7 @@
         let hold_max = self.settings.hold_max();
         let ended = self.refused.iter().any(|(known, _)| known == holder);
         let mut lost = false;
-        for held in &mut self.ranges {
+        for held in self.ranges.iter_mut() {
             let same = held.epoch == epoch && held.range.intersection(range).is_some();
             if !same || held.holder.as_ref() != Some(holder) {
                 continue;
@@ -250,7 +220,7 @@
         outcome: &ReleaseOutcome,
     ) {
         let retry = self.settings.retry_interval;
-        for held in &mut self.ranges {
+        for held in self.ranges.iter_mut() {
             let RangeState::Releasing(release) = &mut held.state else { continue };
             if held.range != range || release.from != *holder || release.epoch != epoch {
                 continue;
@@ -277,7 +247,7 @@
         if outcome != StoreOutcome::Stored {
             return;
         }
-        for held in &mut self.ranges {
+        for held in self.ranges.iter_mut() {
             let included = stored.contains(&(held.range, held.epoch));
             if included && held.state == RangeState::Storing {
                 held.state = RangeState::Held { renew_at: now };
@@ -289,7 +259,7 @@
     /// waits for its outcome, because a next process of the target may accept it.
     pub fn on_ended(&mut self, now: Instant, holder: &Holder) {
         self.refused.push((holder.clone(), now + REFUSED_PAUSE));
-        for held in &mut self.ranges {
+        for held in self.ranges.iter_mut() {
             let live = matches!(
                 held.state,
                 RangeState::Held { .. } | RangeState::Releasing(_) | RangeState::Vacant { .. }
@@ -303,7 +273,7 @@
     /// Gives up on holders that restarted, left the registry or let their grant run out.
     fn vacate_lost(&mut self, now: Instant) {
         for index in 0..self.ranges.len() {
-            let held = &self.ranges[index];
+            let held = self.ranges.get(index);
             let Some(holder) = &held.holder else { continue };
             let life = self.member(&holder.target);
             let restarted = life
@@ -334,7 +304,7 @@
                 _ => None,
             };
             if let Some(state) = state {
-                self.ranges[index].state = state;
+                self.ranges.set_state(index, state);
             }
         }
     }
@@ -343,7 +313,7 @@
     /// grant names the target and not its process: one that was sent before the registration of the
     /// new process arrived is accepted by it.
     fn release_again(&mut self, now: Instant, successor: Holder, to: Option<Holder>) -> Release {
-        Release::new(now, successor, self.take_epoch(), to)
+        Release::new(now, successor, self.ranges.take_epoch(), to)
     }
 
     fn release_leaving(&mut self, now: Instant) {
@@ -353,10 +323,11 @@
         let leaving = self.members.iter().filter(|member| member.leaving);
         let leaving: Vec<Holder> = leaving.map(|member| member.holder.clone()).collect();
         for index in 0..self.ranges.len() {
-            let from = leaving.iter().find(|holder| self.ranges[index].is_held_by(holder)).cloned();
+            let from =
+                leaving.iter().find(|holder| self.ranges.get(index).is_held_by(holder)).cloned();
             if let Some(from) = from {
-                let release = Release::new(now, from, self.take_epoch(), None);
-                self.ranges[index].state = RangeState::Releasing(release);
+                let release = Release::new(now, from, self.ranges.take_epoch(), None);
+                self.ranges.set_state(index, RangeState::Releasing(release));
             }
         }
     }
@@ -383,59 +354,25 @@
             moves = Balancer::new(&self.slow, self.owned()).moves(free);
         }
         for next in moves {
-            self.start_move(now, &next);
+            self.ranges.start_move(now, &next);
         }
     }
 
-    /// Joins neighbouring ranges of one holder, when there are many ranges. The holder gets the
-    /// whole under a new epoch and gives nothing up meanwhile.
+    /// Joins neighbouring ranges of one holder, when there are many ranges.
     fn merge(&mut self, now: Instant) {
         let wanted = self.members.len() * RANGES_BY_MEMBER;
         if now < self.merge_at || self.ranges.len() <= wanted {
             return;
         }
         self.merge_at = now + self.settings.merge_interval;
-        let mut left = self.settings.merges_max;
-        let mut index = 0;
-        while index + 1 < self.ranges.len() && left > 0 {
-            let (held, next) = (&self.ranges[index], &self.ranges[index + 1]);
-            if !held.can_join(next) {
-                index += 1;
-                continue;
-            }
-            let epoch = self.take_epoch();
-            let next = self.ranges.remove(index + 1);
-            let held = &mut self.ranges[index];
-            held.range = held.range.joined(next.range);
-            held.epoch = epoch;
-            held.expires = held.expires.max(next.expires);
-            held.confirmed_expires = held.confirmed_expires.max(next.confirmed_expires);
-            held.state = RangeState::Storing;
-            left -= 1;
-            index += 1;
-        }
-    }
-
-    fn start_move(&mut self, now: Instant, next: &Move) {
-        let found = self.ranges.iter().position(|held| {
-            held.is_held_by(&next.from) && held.range.intersection(next.range) == Some(next.range)
-        });
-        let Some(found) = found else { return };
-        let epoch = self.take_epoch();
-        let whole = self.ranges.remove(found);
-        self.ranges.extend(whole.range.below(next.range).map(|range| whole.part(range)));
-        self.ranges.extend(whole.range.above(next.range).map(|range| whole.part(range)));
-        let release = Release::new(now, next.from.clone(), epoch, Some(next.to.clone()));
-        let state = RangeState::Releasing(release);
-        self.ranges.push(HeldRange { state, ..whole.part(next.range) });
-        self.sort();
+        self.ranges.join_neighbours(self.settings.merges_max);
     }
 
     /// Returns the eligible members with the ranges that they hold.
     fn owned(&self) -> Vec<(Member, Vec<KeyRange>)> {
         let eligible = self.members.iter().filter(|member| self.is_eligible(member));
         let mut owned: Vec<_> = eligible.map(|member| (member.clone(), Vec::new())).collect();
-        for held in &self.ranges {
+        for held in self.ranges.iter() {
             let holder = match held.state {
                 RangeState::Held { .. } | RangeState::Storing => held.holder.as_ref(),
                 _ => None,
@@ -483,20 +420,24 @@
         if !self.ranges.iter().any(ready) || self.owned().is_empty() {
             return;
         }
-        let (vacant, kept): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.ranges).into_iter().partition(ready);
-        self.ranges = kept;
+        let vacant = self.ranges.take(ready);
         let load = std::mem::replace(&mut self.slow, KeyLoad::new(now, SLOW_LOAD));
         let mut shares = Balancer::new(&load, self.owned());
+        let mut placed = Vec::new();
         for held in vacant {
-            self.place_range(held, &mut shares);
+            self.place_range(held, &mut shares, &mut placed);
         }
         drop(shares);
         self.slow = load;
-        self.sort();
+        self.ranges.put_back(placed);
     }
 
-    fn place_range(&mut self, held: HeldRange, shares: &mut Balancer<'_>) {
+    fn place_range(
+        &mut self,
+        held: HeldRange,
+        shares: &mut Balancer<'_>,
+        placed: &mut Vec<HeldRange>,
+    ) {
         let chosen = match &held.state {
             RangeState::Vacant { to: Some(to), .. } => {
                 self.members.iter().find(|member| member.holder == *to).cloned()
@@ -513,18 +454,11 @@
                 Some(member) => member.clone(),
                 None => match shares.least_busy() {
                     Some(member) => member.clone(),
-                    None => return self.ranges.push(held),
+                    None => return placed.push(held),
                 },
             };
             shares.add(&member.holder, range);
-            let epoch = self.take_epoch();
-            self.ranges.push(HeldRange {
-                holder: Some(member.holder),
-                epoch,
-                in_flight: false,
-                state: RangeState::Storing,
-                ..held.part(range)
-            });
+            placed.push(self.ranges.reassigned(&held, range, member.holder));
         }
     }
 
@@ -552,7 +486,7 @@
         let (hold, hold_max) = (self.settings.hold, self.settings.hold_max());
         let call_timeout = self.settings.call_timeout;
         let mut orders = Vec::new();
-        for held in &mut self.ranges {
+        for held in self.ranges.iter_mut() {
             match (&mut held.state, &held.holder) {
                 (RangeState::Held { renew_at }, Some(holder))
                     if !held.in_flight && now >= *renew_at =>
@@ -575,7 +509,7 @@
 
     fn releases(&mut self, now: Instant) -> Vec<Order> {
         let mut orders = Vec::new();
-        for held in &mut self.ranges {
+        for held in self.ranges.iter_mut() {
             match &mut held.state {
                 RangeState::Releasing(release) if !release.in_flight && now >= release.ask_at => {
                     release.in_flight = true;
@@ -598,13 +532,4 @@
         self.storing = Some(waiting);
         Some(Order::Store { table: self.table() })
     }
-
-    fn take_epoch(&mut self) -> Epoch {
-        self.last_epoch = self.last_epoch.next();
-        self.last_epoch
-    }
-
-    fn sort(&mut self) {
-        self.ranges.sort_by_key(|held| held.range);
-    }
 }
--- a/crates/ranges/src/lib.rs
+++ b/crates/ranges/src/lib.rs
@@ -18,6 +18,7 @@
 mod key_range;
 mod member;
 mod order;
+mod range_list;
 mod range_share;
 mod release;
 
