Compress long rows of the store, and keep the number of ranges within one row

Cause: the owners of 2,100 keyed targets in 2,800 ranges take 147 KB as JSON, a row of the store 64 KB. Above 2,400 ranges neighbours are joined on a large site.

--- a/crates/ranges/src/granter.rs
+++ b/crates/ranges/src/granter.rs
@@ -26,6 +26,10 @@
 /// in every copy of the table.
 const RANGES_BY_MEMBER: usize = 2;
 
+/// Ranges above which neighbours are joined on a large site, so that one row of the store has room
+/// for them and for a hot range in parts.
+const RANGES_WANTED_MAX: usize = 2_400;
+
 /// Members for each range that may be moving for balance. A hot range on a large site is spread over
 /// many targets, and a series of small steps takes longer than the range is hot.
 const MEMBERS_BY_MOVE: usize = 2;
@@ -360,7 +364,8 @@
 
     /// Joins neighbouring ranges of one holder, when there are many ranges.
     fn merge(&mut self, now: Instant) {
-        let wanted = self.members.len() * RANGES_BY_MEMBER;
+        let members = self.members.len();
+        let wanted = (members * RANGES_BY_MEMBER).min(members.max(RANGES_WANTED_MAX));
         if now < self.merge_at || self.ranges.len() <= wanted {
             return;
         }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod change_feed;
 mod config_store;
+mod deflate;
 mod http_platform;
 mod json_client;
 mod listing;
--- a/crates/store/src/packed_row.rs
+++ b/crates/store/src/packed_row.rs
@@ -1,23 +1,14 @@
 //! A row as nodes keep it and pass it on to each other.
 
-use std::io::{self, Read, Write};
+use std::io;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
 use wagtailmoor_core::RowVersion;
 use wagtailmoor_derive::value;
 
 use crate::change_feed::FeedRow;
-
-/// Content below this size is passed on as it is; compression would save less than a packet.
-const PACK_MIN_BYTES: usize = 1_024;
-
-/// Content above this size when unpacked is refused. It is far above any row of the store, and
-/// bounds the memory that a faulty node can make others use.
-const UNPACKED_MAX_BYTES: u64 = 16 * 1024 * 1024;
+use crate::deflate::{PACK_MIN_BYTES, deflate, inflate};
 
 /// Content of a row, compressed where that pays.
 #[value]
@@ -70,35 +61,16 @@
 
 impl PackedContent {
     fn pack(content: Bytes) -> Self {
-        match deflate(&content) {
-            Ok(packed) if packed.len() < content.len() => Self::Deflated(packed),
-            _ => Self::Plain(content),
+        match content.len() < PACK_MIN_BYTES {
+            true => Self::Plain(content),
+            false => Self::Deflated(deflate(&content).into()),
         }
     }
 
     fn unpack(&self) -> io::Result<Bytes> {
         match self {
             Self::Plain(content) => Ok(content.clone()),
-            Self::Deflated(packed) => inflate(packed),
+            Self::Deflated(packed) => inflate(packed).map(Bytes::from),
         }
     }
 }
-
-/// Returns the content compressed, or as it is when it is short.
-fn deflate(content: &Bytes) -> io::Result<Bytes> {
-    if content.len() < PACK_MIN_BYTES {
-        return Ok(content.clone());
-    }
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(content)?;
-    Ok(encoder.finish()?.into())
-}
-
-fn inflate(packed: &[u8]) -> io::Result<Bytes> {
-    let mut content = Vec::new();
-    DeflateDecoder::new(packed).take(UNPACKED_MAX_BYTES + 1).read_to_end(&mut content)?;
-    match content.len() as u64 > UNPACKED_MAX_BYTES {
-        true => Err(io::Error::new(io::ErrorKind::InvalidData, "the row is too large")),
-        false => Ok(content.into()),
-    }
-}
