--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -13,7 +13,6 @@
 mod target_load;
 mod target_picker;
 mod target_speeds;
-mod target_weight;
 
 pub use cold_gate::ColdGate;
 pub use customer_limits::CustomerLimits;
@@ -24,4 +23,3 @@
 pub use target_load::{Running, TargetLoad};
 pub use target_picker::{Demand, Picked, TargetPicker};
 pub use target_speeds::{ServiceTime, TargetSpeeds};
-pub use target_weight::TargetWeight;
--- a/crates/admission/src/target_speeds.rs
+++ b/crates/admission/src/target_speeds.rs
@@ -4,11 +4,9 @@
 
 use wagtailmoor_core::{Instant, SortedVec, TargetId};
 use wagtailmoor_derive::value;
-use wagtailmoor_ranges::{Room, fair_rates};
+use wagtailmoor_ranges::Room;
 use wagtailmoor_site::Target;
 
-use crate::TargetWeight;
-
 /// Time constant with which answers are forgotten. Targets differ for good, and neighbours slow
 /// them for fractions of a second, which is not to move keys.
 const TIME_CONSTANT: Duration = Duration::from_secs(8);
@@ -33,9 +31,6 @@
 /// Least share of requests that a target is taken to run.
 const TAKEN_SHARE_MIN: f64 = 0.2;
 
-/// Least part of its weight that a target with a queue keeps.
-const QUEUED_WEIGHT_MIN: f64 = 0.25;
-
 /// Bounds of a relative speed.
 const SPEED_RANGE: (f64, f64) = (0.4, 2.0);
 
@@ -144,37 +139,6 @@
         (usual_us / own_us).clamp(SPEED_RANGE.0, SPEED_RANGE.1)
     }
 
-    /// Returns which part of the requests each of several targets of a back end is to get; nothing as
-    /// long as no answers were seen.
-    pub fn weights(&self, now: Instant, targets: &[&Target]) -> Vec<TargetWeight> {
-        let Some(usual) = self.usual(now, targets.iter().map(|target| &target.target)) else {
-            return Vec::new();
-        };
-        let seen_at = |target: &&Target| {
-            self.seen.get(&target.target).map(|seen| seen.at(now)).unwrap_or_default()
-        };
-        let slots = |target: &Target| f64::from(target.slots.get().max(1));
-        let seen: Vec<Seen> = targets.iter().map(seen_at).collect();
-        let answers: f64 = seen.iter().map(|seen| seen.answers).sum();
-        let capacities: Vec<f64> = targets
-            .iter()
-            .map(|target| {
-                let speed = self.relative(now, &target.target, usual);
-                slots(target) * speed / usual.as_secs_f64().max(1e-6)
-            })
-            .collect();
-        let rates = fair_rates(answers / TIME_CONSTANT.as_secs_f64(), &capacities);
-        let weights = targets.iter().zip(&seen).zip(rates).map(|((target, seen), rate)| {
-            let queued = seen.waiting_mean() / slots(target);
-            let weight = rate * (1.0 - queued).max(QUEUED_WEIGHT_MIN);
-            TargetWeight {
-                target: target.target.clone(),
-                requests_per_1000_s: ((weight * 1_000.0) as u32).max(1),
-            }
-        });
-        weights.collect()
-    }
-
     /// Returns what a target can take, given how long those of its back end usually take and within
     /// which time an answer is wanted.
     pub fn room(
--- a/crates/ranges/src/balancer.rs
+++ b/crates/ranges/src/balancer.rs
@@ -2,7 +2,7 @@
 
 use wagtailmoor_core::ShardKey;
 
-use crate::{Holder, KeyLoad, KeyRange, Member, fair_rates};
+use crate::{Holder, KeyLoad, KeyRange, Member};
 
 /// Load above the fair one that justifies a move, as a share of it.
 const EXCESS_SHARE_MIN: f64 = 0.35;
@@ -11,6 +11,9 @@
 /// keeps chance from moving keys: at five requests a second a count varies by nearly half.
 const EXCESS_DEVIATIONS_MIN: f64 = 2.5;
 
+/// Least part of the load in proportion to its capacity that is fair for a slow member.
+const FAIR_SHARE_MIN: f64 = 0.2;
+
 /// Load up to which a member is given more, as a multiple of its fair share. Single keys of a hot
 /// range would else not fit on members that are nearly as busy as the mean.
 const FILL_MAX: f64 = 1.4;
@@ -59,11 +62,7 @@
                 Share { fair_per_s: member.capacity_per_s, member, ranges, load_per_s }
             })
             .collect();
-        let total = shares.iter().map(|share| share.load_per_s).sum();
-        let capacities: Vec<f64> = shares.iter().map(|share| share.member.capacity_per_s).collect();
-        for (share, fair_per_s) in shares.iter_mut().zip(fair_rates(total, &capacities)) {
-            share.fair_per_s = fair_per_s;
-        }
+        set_fair_shares(&mut shares);
         Self { load, shares }
     }
 
@@ -169,6 +168,27 @@
     }
 }
 
+/// Divides the load so that requests take the least time on the whole: what members have free is
+/// divided by the square roots of their capacities, so that slow ones are less busy than fast ones.
+/// Without free capacity the load is divided in proportion.
+fn set_fair_shares(shares: &mut [Share]) {
+    let total: f64 = shares.iter().map(|share| share.load_per_s).sum();
+    let capacity: f64 = shares.iter().map(|share| share.member.capacity_per_s).sum();
+    let roots: f64 = shares.iter().map(|share| share.member.capacity_per_s.sqrt()).sum();
+    let free = (capacity - total).max(0.0);
+    for share in shares.iter_mut() {
+        let own = share.member.capacity_per_s;
+        // Without any load the capacity itself orders the members.
+        let proportional = if total > 0.0 { own * total / capacity } else { own };
+        let wanted = own - free * own.sqrt() / roots;
+        share.fair_per_s = wanted.clamp(FAIR_SHARE_MIN * proportional, own.max(proportional));
+    }
+    let given: f64 = shares.iter().map(|share| share.fair_per_s).sum();
+    if total > 0.0 {
+        shares.iter_mut().for_each(|share| share.fair_per_s *= total / given);
+    }
+}
+
 impl Share {
     /// Busyness that also counts keys without load, so that idle keys spread as well.
     fn rank(&self) -> f64 {
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use snafu::Snafu;
-use wagtailmoor_admission::{CustomerUse, NodeAllowance, ServiceTime, TargetWeight};
+use wagtailmoor_admission::{CustomerUse, NodeAllowance, ServiceTime};
 use wagtailmoor_core::{BackEndId, NodeId, RowVersion, ShardKey};
 use wagtailmoor_derive::value;
 use wagtailmoor_dispatch::SuspectReport;
@@ -33,8 +33,6 @@
     /// Version of the list of nodes that it knows.
     pub(crate) nodes_known: u64,
     pub(crate) keys: Vec<KeyCounts>,
-    /// Version of the weights of targets that it knows.
-    pub(crate) weights_known: u64,
     /// Use by customer since the last report.
     pub(crate) used: Vec<CustomerUse>,
     /// Requests that crashed targets.
@@ -66,10 +64,6 @@
     /// Ranges on which more requests arrive than their owners can run in time.
     pub(crate) shares: Vec<(BackEndId, Vec<RangeShare>)>,
     pub(crate) suspects: Vec<SuspectReport>,
-    /// Version of the weights of targets.
-    pub(crate) weights_version: u64,
-    /// How requests are divided among targets, unless the caller knows that version.
-    pub(crate) weights: Option<Vec<TargetWeight>>,
 }
 
 /// Versions up to which a node knows the tables of the store.
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -20,9 +20,6 @@
 /// the leader spends no more on reports.
 const REPORT_INTERVAL_BY_NODE: Duration = Duration::from_millis(6);
 
-/// Time between two looks of the leader at how requests are divided among targets.
-const WEIGHTS_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Age up to which a call to the store shows that this node can lead.
 const STORE_REACHED_AGE_MAX: Duration = Duration::from_millis(600);
 
@@ -65,7 +62,6 @@
     NodeReport {
         from: settings.address(),
         nodes_known: state.nodes_version,
-        weights_known: state.weights_version,
         can_lead: now.saturating_since(state.store_reached) < STORE_REACHED_AGE_MAX,
         keys,
         used: state.customers.take_use(),
@@ -93,10 +89,6 @@
         state.source.set_nodes(nodes);
         state.nodes_version = reply.nodes_version;
     }
-    if let Some(weights) = reply.weights {
-        state.picker.set_weights(now, weights);
-        state.weights_version = reply.weights_version;
-    }
     state.customers.take_answer(now, reply.allowances, reply.site_nodes);
     state.admitted.take(now, reply.shares);
 }
@@ -123,8 +115,6 @@
         allowances: Vec::new(),
         shares: Vec::new(),
         suspects: state.ledger.report(now),
-        weights_version: 0,
-        weights: None,
     };
     if leads {
         for counts in &report.keys {
@@ -148,12 +138,6 @@
         reply.shares =
             state.shares.iter().map(|(id, shares)| (id.clone(), shares.clone())).collect();
         reply.allowances = state.issuer.allowances(now, &node, rules());
-        if now >= state.weighed_at + WEIGHTS_INTERVAL {
-            state.weigh_targets(now);
-        }
-        reply.weights_version = state.weights_version;
-        let unknown = report.weights_known != state.weights_version;
-        reply.weights = unknown.then(|| state.weights.clone());
         reply.site_nodes = state.issuer.nodes(now);
         reply.nodes_version = state.reporters_version;
         // A new leader knows few nodes; a list of these would move duties to the wrong nodes.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 use wagtailmoor_admission::{
-    ColdGate, CustomerLimits, LimitIssuer, LimitSettings, TargetPicker, TargetSpeeds, TargetWeight,
+    ColdGate, CustomerLimits, LimitIssuer, LimitSettings, TargetPicker, TargetSpeeds,
 };
 use wagtailmoor_core::{
     BackEndId, Clock, Instant, NodeId, PartsPerMillion, RowVersion, ShardKey, SortedVec,
@@ -15,7 +15,7 @@
 use wagtailmoor_dispatch::{CrashLedger, CrashSettings};
 use wagtailmoor_limits::RetryBudget;
 use wagtailmoor_ranges::{AssignmentTable, EndedTargets, Granter, RangeShare};
-use wagtailmoor_site::{Registry, SiteConfig, Target};
+use wagtailmoor_site::{Registry, SiteConfig};
 
 use crate::NodeAddress;
 use crate::admitted_shares::AdmittedShares;
@@ -65,12 +65,6 @@
     pub(crate) granters: SortedVec<BackEndId, Granter>,
     /// Versions of the rows that the granters stored last.
     pub(crate) table_versions: SortedVec<BackEndId, RowVersion>,
-    /// How requests are divided among targets, as the leader sees it.
-    pub(crate) weights: Vec<TargetWeight>,
-    /// Version of the weights; starts like that of the reporters.
-    pub(crate) weights_version: u64,
-    /// When this process, as the leader, weighed the targets last.
-    pub(crate) weighed_at: Instant,
     /// Speeds of targets; used only while this process leads.
     pub(crate) speeds: TargetSpeeds,
     /// When this process became the leader.
@@ -151,9 +145,6 @@
             shares_at: SortedVec::new(),
             granters: SortedVec::new(),
             table_versions: SortedVec::new(),
-            weights: Vec::new(),
-            weights_version: seed << 16,
-            weighed_at: Instant::default(),
             speeds: TargetSpeeds::default(),
             leading_since: now,
             issuer: LimitIssuer::new(limits),
@@ -244,19 +235,6 @@
         }
     }
 
-    /// Weighs the targets of pooled back ends anew; done by the leader.
-    pub(crate) fn weigh_targets(&mut self, now: Instant) {
-        let rules = self.config.iter().flat_map(|config| config.back_ends());
-        let pooled = rules.filter(|rule| !rule.keyed);
-        let weights = pooled.flat_map(|rule| {
-            let targets: Vec<&Target> = self.registry.targets_of(&rule.back_end).collect();
-            self.speeds.weights(now, &targets)
-        });
-        self.weights = weights.collect();
-        self.weights_version += 1;
-        self.weighed_at = now;
-    }
-
     /// Returns the retry budget of a back end.
     pub(crate) fn budget(
         &mut self,
