Keep one table probing a store that is away, and longer pauses on nodes for which nobody waits

Cause: the loop of a table that is not followed ended the search of another one every 100 ms, so each node went on asking for three tables. Change: only a node that follows nothing ends the search; nodes other than the leader and relays pause 1.25 to 2.5 s after each failure, since they hear of the store's return from their relay.

--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -36,14 +36,15 @@
 /// Time between looks at whether this node is to follow the store.
 const SOURCE_PAUSE: Duration = Duration::from_millis(100);
 
-/// Pause after a call that failed, doubled by each further one.
+/// Pause after a call of the leader or a relay that failed, doubled by each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Longest pause between calls of a relay that fail; its zone waits for it.
+/// Longest pause between calls of the leader or a relay that fail; others wait for it.
 const RELAY_RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
 
-/// The same on other nodes, of which there are many. They hear of the store's return from their relay.
-const RETRY_PAUSE_MAX: Duration = Duration::from_millis(2_500);
+/// Pause between calls that fail on other nodes, of which there are many. They hear of the store's
+/// return from their relay.
+const RETRY_PAUSE_ALONE: Duration = Duration::from_millis(2_500);
 
 /// A leader that was not heard of for this long does not pass on owners either.
 const LEADER_SILENCE_MAX: Duration = Duration::from_millis(1_000);
@@ -67,7 +68,7 @@
     loop {
         if !is_followed(&shared, table) {
             failures = 0;
-            shared.write().store_down = None;
+            forget_outage(&shared);
             sleep(SOURCE_PAUSE).await;
             continue;
         }
@@ -122,13 +123,26 @@
     state.follows_store(now) && !others_tell
 }
 
+/// Ends the search for the store's return on a node that hears of changes from another one.
+fn forget_outage(shared: &Shared) {
+    let now = shared.now();
+    let mut state = shared.write();
+    if !state.follows_store(now) {
+        state.store_down = None;
+    }
+}
+
 /// The pause varies at random, so that nodes do not return all at once.
 fn pause(shared: &Shared, failures: u32) -> Duration {
-    let pause_max = match shared.read().source.is_relay() {
-        true => RELAY_RETRY_PAUSE_MAX,
-        false => RETRY_PAUSE_MAX,
+    let now = shared.now();
+    let state = shared.read();
+    let others_wait = state.source.is_relay() || state.lead(now).own;
+    drop(state);
+    let doubled = RETRY_PAUSE * 2u32.saturating_pow(failures.min(8));
+    let longest = match others_wait {
+        true => doubled.min(RELAY_RETRY_PAUSE_MAX),
+        false => RETRY_PAUSE_ALONE,
     };
-    let longest = (RETRY_PAUSE * 2u32.saturating_pow(failures.min(8))).min(pause_max);
     longest.mul_f64(shared.write().random.random_range(0.5..1.0))
 }
 
