Bound the calls to a store that answers without changes too soon

Cause: since the pause follows changes only, a store that does not wait would be called without a break. Change: 20 ms after an answer without changes.

--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -33,6 +33,9 @@
 /// The same for owners: requests wait for the next owner of a key.
 const RANGES_CHANGE_PAUSE: Duration = Duration::from_millis(60);
 
+/// Pause after an answer without changes. It bounds the calls to a store that answers too soon.
+const EMPTY_PAUSE: Duration = Duration::from_millis(20);
+
 /// Time between looks at whether this node is to follow the store.
 const SOURCE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -98,9 +101,7 @@
                 after = Some(page.version);
                 let changed = !page.rows.is_empty();
                 apply(&shared, &*decoder, table, PackedPage::pack(page));
-                if changed {
-                    sleep(change_pause).await;
-                }
+                sleep(if changed { change_pause } else { EMPTY_PAUSE }).await;
             }
             Err(FeedError::HistoryLost) => {
                 Event::new("history-lost").field("table", table).warn();
