Give Lead a file of its own, and drop an arm that the next ones cover

Cause: read-through of the change: change_source.rs held two types, and the leader with the store falls through to the same result. Behaviour stays as it is.

--- a/crates/router/src/change_source.rs
+++ b/crates/router/src/change_source.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, RngExt};
 use wagtailmoor_core::{Instant, KeyHash, SortedVec, ZoneId, rendezvous_score};
 
-use crate::NodeAddress;
+use crate::{Lead, NodeAddress};
 
 /// Age up to which a node passes on what it knows of the store. The leader hears of the store every
 /// 0.6 s at most, and a relay of the leader every 0.4 s.
@@ -32,15 +32,6 @@
 /// Nodes of a zone that follow the store for the others.
 const RELAYS_BY_ZONE: usize = 1;
 
-/// Who leads, as a node knows it.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Lead {
-    /// Whether this node leads.
-    pub own: bool,
-    /// Where the leader is reached.
-    pub address: Option<SocketAddr>,
-}
-
 /// Where a node learns of changes in the store.
 ///
 /// Every call to the store costs, and a change wakes every node that waits for it there. So only the
@@ -133,7 +124,6 @@
             false => relay,
         };
         match first {
-            _ if has_store && lead.own => None,
             Some(first) if !lead.own && now >= self.avoided_until => Some(first),
             _ if has_store => None,
             _ => self.other(random),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod feeds;
 mod gateway;
 mod grant_loop;
+mod lead;
 mod leader_lease;
 mod leader_loop;
 mod log_lines;
@@ -31,8 +32,9 @@
 mod target_control;
 
 pub use boot_clock::BootClock;
-pub use change_source::{ChangeSource, Lead};
+pub use change_source::ChangeSource;
 pub use gateway::CreditGuard;
+pub use lead::Lead;
 pub use leader_lease::{LeaderLease, LeaderRow, LeaseAction};
 pub use node_address::NodeAddress;
 pub use node_settings::{LimitBounds, NodeSettings};
