Log how old a node's knowledge is when a configuration comes in force, and which node did not help

The line of a configuration now carries the version of its row and the age of what the node knew until then; a node at which this one waited in vain is named with the cause; the line of a lost target carries the losses known of the request, and a metric the number of suspects.

No decision changes.

--- a/crates/dispatch/src/crash_ledger.rs
+++ b/crates/dispatch/src/crash_ledger.rs
@@ -88,6 +88,11 @@
         });
     }
 
+    /// Returns the number of losses that are known of a fingerprint.
+    pub fn losses(&self, fingerprint: Fingerprint) -> usize {
+        self.suspects.get(&fingerprint).map_or(0, Suspect::losses)
+    }
+
     /// Returns the number of fingerprints with losses.
     pub fn len(&self) -> usize {
         self.suspects.len()
--- a/crates/dispatch/src/suspect.rs
+++ b/crates/dispatch/src/suspect.rs
@@ -65,6 +65,10 @@
         self.losses.iter().filter(|(_, at)| counts(*at)).count() >= needed
     }
 
+    pub(crate) fn losses(&self) -> usize {
+        self.losses.len()
+    }
+
     pub(crate) fn last_loss(&self) -> Option<Instant> {
         self.losses.iter().map(|(_, at)| *at).max()
     }
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -210,6 +210,7 @@
 }
 
 fn apply_operator<S: SiteDecoder>(shared: &Shared, decoder: &S, row: &FeedRow) {
+    let now = shared.now();
     let mut state = shared.write();
     match decoder.operator_change(&row.key, row.content.as_deref()) {
         Ok(OperatorChange::Config(config)) => {
@@ -221,6 +222,8 @@
                     .field("version", version)
                     .optional("before", known)
                     .field("bytes", row.content.as_ref().map_or(0, Bytes::len))
+                    .field("row_version", row.version)
+                    .field("store_age_ms", state.source.age(now).as_millis())
                     .info();
             }
         }
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -270,6 +270,8 @@
             .field("target", target)
             .field("fingerprint", fingerprint)
             .field("refused_from_now", crashes)
+            .field("losses", state.ledger.losses(fingerprint))
+            .field("suspects", state.ledger.len())
             .warn();
     }
 
--- a/crates/router/src/row_source.rs
+++ b/crates/router/src/row_source.rs
@@ -1,5 +1,6 @@
 //! Takes changes of the store from other nodes and passes them on to others.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,11 +43,12 @@
         };
         let missed = link.rows(peer, known_rows::<S>(&shared)).await;
         let helps = missed.as_ref().is_some_and(|missed| missed.has_store);
+        let silent = missed.is_none();
         if let Some(missed) = missed {
             take(&shared, &*decoder, missed);
         }
         if !helps {
-            shared.write().source.note_helpless(shared.now());
+            note_helpless(&shared, peer, silent);
         }
         // The first node that does not help is replaced by another one at once.
         let pause = match shared.read().source.helpless() {
@@ -57,6 +59,19 @@
     }
 }
 
+/// Notes a node that did not answer or does not learn of changes itself.
+fn note_helpless(shared: &Shared, peer: SocketAddr, silent: bool) {
+    let now = shared.now();
+    let mut state = shared.write();
+    state.stats.count("peer-helpless");
+    Event::new("peer-helpless")
+        .field("peer", peer)
+        .field("cause", if silent { "silent" } else { "lacks-store" })
+        .field("store_age_ms", state.source.age(now).as_millis())
+        .info();
+    state.source.note_helpless(now);
+}
+
 fn known_rows<S: SiteDecoder>(shared: &Shared) -> KnownRows {
     let state = shared.read();
     KnownRows {
