Keep refused requests in a full crash ledger

Cause: a full ledger dropped the suspect with the oldest loss. A request that is refused has no further losses, so it was dropped first, and its callers' next requests ended two more targets at each node. With 1,024 other losses within ten minutes that happens on a site whose targets flap.

Now fingerprints that are not refused make room first.

--- a/crates/dispatch/src/crash_ledger.rs
+++ b/crates/dispatch/src/crash_ledger.rs
@@ -192,9 +192,12 @@
             return;
         }
         self.expire(now);
-        let oldest = self.suspects.iter().min_by_key(|(_, suspect)| suspect.last_loss());
-        let oldest = oldest.map(|(key, _)| *key);
-        match oldest {
+        // A refused fingerprint has old losses because it is refused.
+        let least = self.suspects.iter().min_by_key(|(_, suspect)| {
+            (suspect.is_refused(now, &self.settings), suspect.last_loss())
+        });
+        let least = least.map(|(key, _)| *key);
+        match least {
             Some(key) if self.suspects.len() >= self.settings.fingerprints_max => {
                 self.suspects.remove(&key);
             }
--- a/crates/dispatch/src/crash_settings.rs
+++ b/crates/dispatch/src/crash_settings.rs
@@ -12,7 +12,7 @@
     pub losses_to_refuse_answered: usize,
     /// Time after which a loss is forgotten.
     pub window: Duration,
-    /// Fingerprints kept; beyond it the one with the oldest loss is dropped.
+    /// Fingerprints kept; beyond it the one with the oldest loss is dropped, refused ones last.
     pub fingerprints_max: usize,
     /// Fingerprints in one report to a peer. A report takes about 110 bytes, and a node exchanges
     /// twice a second within a budget of 8 KB/s for control.
