Do not send a request again once it is known to crash targets

The plan of a request asks for a further target and expects to be told when the crash ledger refuses the request by then. Neither the router nor the entry process did: a request was sent to as many targets as its route allows, also after its second loss, and so were requests that waited for an owner meanwhile.

The exchange now looks at the ledger when a target was chosen.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -86,6 +86,10 @@
         call.fingerprint(self.now(), &self.entry.state().ledger, method, path, body)
     }
 
+    fn crashes_targets(&self, fingerprint: Fingerprint) -> bool {
+        self.entry.state().ledger.refuses(self.now(), fingerprint)
+    }
+
     async fn admit(&self, call: &Call) -> Result<Option<Credit>, Refusal> {
         let Some(customer) = &call.customer else { return Ok(None) };
         let mut admission = self.entry.state().credits.admit(self.now(), customer);
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -26,7 +26,7 @@
 
 /// What a step of the exchange waits for.
 enum Step<P> {
-    Choose(AttemptId, Vec<TargetId>),
+    Choose(AttemptId, Vec<TargetId>, Fingerprint),
     Connect(AttemptId, Destination),
     Send(AttemptId, Connection<P>, Box<http::Request<RequestBody>>),
     Timer(Instant),
@@ -196,7 +196,8 @@
                         running: None,
                     });
                     let tried = self.tracked.plan.tried();
-                    started.push((Some(*attempt), Step::Choose(*attempt, tried)));
+                    let choose = Step::Choose(*attempt, tried, self.tracked.fingerprint);
+                    started.push((Some(*attempt), choose));
                 }
                 PlanOutput::Connect { attempt, .. } => {
                     let destination = self.io(*attempt).destination.clone();
@@ -382,8 +383,15 @@
     step: Step<G::ConnectionPermit>,
 ) -> Event<G> {
     match step {
-        Step::Choose(attempt, tried) => {
-            Event::Assigned(attempt, gateway.assign(&call, &tried).await)
+        Step::Choose(attempt, tried, fingerprint) => {
+            let assigned = gateway.assign(&call, &tried).await;
+            // A loss may have been noted after the request was admitted, by this request too.
+            let assigned =
+                assigned.and_then(|assigned| match gateway.crashes_targets(fingerprint) {
+                    true => Err(Reason::CrashesTargets),
+                    false => Ok(assigned),
+                });
+            Event::Assigned(attempt, assigned)
         }
         Step::Connect(attempt, destination) => {
             Event::Connected(attempt, attempt::connect(&*gateway, &pool, &call, &destination).await)
--- a/crates/front/src/gateway.rs
+++ b/crates/front/src/gateway.rs
@@ -152,6 +152,9 @@
         body: &[u8],
     ) -> Result<Fingerprint, Refusal>;
 
+    /// Returns whether a request with this fingerprint crashes targets, by what is known now.
+    fn crashes_targets(&self, fingerprint: Fingerprint) -> bool;
+
     /// Waits for credit of the customer.
     fn admit(&self, call: &Call) -> impl Future<Output = Result<Self::Credit, Refusal>>;
 
--- a/crates/front/tests/support/gateway.rs
+++ b/crates/front/tests/support/gateway.rs
@@ -30,6 +30,8 @@
     start: tokio::time::Instant,
     targets: Vec<SocketAddr>,
     calls: Cell<u128>,
+    /// Whether a target was lost.
+    lost: Cell<bool>,
     log: RefCell<Vec<String>>,
     pub(crate) logged: Notify,
 }
@@ -40,6 +42,7 @@
             start: tokio::time::Instant::now(),
             targets,
             calls: Cell::new(0),
+            lost: Cell::new(false),
             log: RefCell::default(),
             logged: Notify::new(),
         }
@@ -130,6 +133,12 @@
         }
     }
 
+    fn crashes_targets(&self, fingerprint: Fingerprint) -> bool {
+        let customer = "acme".parse().unwrap();
+        let crashing = Fingerprint::of(1, Some(&customer), "GET", "/crashing", b"");
+        self.lost.get() && fingerprint == crashing
+    }
+
     async fn admit(&self, call: &Call) -> Result<(), Refusal> {
         self.record(Event::new("admit").field("call", call.id));
         match call.record.as_deref() {
@@ -185,6 +194,7 @@
     }
 
     fn lost(&self, _call: &Call, _print: Fingerprint, target: &TargetId, _sent_at: Instant) {
+        self.lost.set(true);
         self.record(Event::new("lost").field("target", target));
     }
 
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -174,6 +174,10 @@
         call.fingerprint(self.now(), &self.shared.read().ledger, method, path, body)
     }
 
+    fn crashes_targets(&self, fingerprint: Fingerprint) -> bool {
+        self.shared.read().ledger.refuses(self.now(), fingerprint)
+    }
+
     async fn admit(&self, call: &Call) -> Result<CreditGuard, Refusal> {
         let now = self.now();
         let mut state = self.shared.write();
