Count each start of a target among the losses of a request

Cause: losses of a request counted by target id. A target that crashed may start again under its id, and an owner that does gets its keys back, so a request that crashed it again and again counted as lost once and was never refused.

Each start counts now; two nodes that lose the same start count it once, also if one of them does not know the start any more. The test fails on the former code, which had no notion of a start.

--- a/crates/dispatch/src/crash_ledger.rs
+++ b/crates/dispatch/src/crash_ledger.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 
-use wagtailmoor_core::{Instant, SortedVec, TargetId};
+use wagtailmoor_core::{Incarnation, Instant, SortedVec, TargetId};
 
 use crate::answered_set::AnsweredSet;
 use crate::suspect::Suspect;
@@ -46,18 +46,20 @@
         self
     }
 
-    /// Records a loss and returns whether the fingerprint is to blame for it.
+    /// Records a loss and returns whether the fingerprint is to blame for it. Each start of a target
+    /// counts: one that crashed may start again under its id.
     pub fn record_loss(
         &mut self,
         now: Instant,
         fingerprint: Fingerprint,
         target: &TargetId,
+        incarnation: Incarnation,
     ) -> bool {
         let answered = self.answered.get(now, fingerprint, self.settings.window);
         self.make_room(now, fingerprint);
         let change = self.version.advance();
         let suspect = self.suspects.get_or_insert_with(fingerprint, Suspect::default);
-        suspect.lose(now, target);
+        suspect.lose(now, target, incarnation);
         answered.into_iter().for_each(|at| suspect.answer(at));
         suspect.note_own_change(change);
         suspect.is_refused(now, &self.settings)
--- a/crates/dispatch/src/suspect.rs
+++ b/crates/dispatch/src/suspect.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtailmoor_core::{Instant, TargetId};
+use wagtailmoor_core::{Incarnation, Instant, TargetId};
 use wagtailmoor_derive::value;
 
 use crate::{CrashSettings, Fingerprint};
@@ -18,6 +18,9 @@
 pub struct LossReport {
     /// The target that was lost.
     pub target: TargetId,
+    /// Its start, as far as it is known; zero stands for any.
+    #[serde(default)]
+    pub incarnation: Incarnation,
     /// Time since the loss.
     pub age_ms: u64,
 }
@@ -33,10 +36,18 @@
     pub answered_age_ms: Option<u64>,
 }
 
+/// The last loss of one start of a target.
+#[derive(Clone, Debug)]
+struct Loss {
+    target: TargetId,
+    incarnation: Incarnation,
+    at: Instant,
+}
+
 /// Losses of one fingerprint.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Suspect {
-    losses: Vec<(TargetId, Instant)>,
+    losses: Vec<Loss>,
     answered: Option<Instant>,
     /// Number of the last change that matters to peers.
     changed: u64,
@@ -47,17 +58,32 @@
 }
 
 impl Suspect {
-    /// Adds a loss, the last of which counts for each target; returns whether it is a further one.
-    pub(crate) fn lose(&mut self, at: Instant, target: &TargetId) -> bool {
-        match self.losses.iter().position(|(lost, _)| lost == target) {
-            Some(index) => self.losses[index].1 = at.max(self.losses[index].1),
+    /// Adds a loss, the last of which counts for each start of a target; returns whether it is a
+    /// further one.
+    pub(crate) fn lose(
+        &mut self,
+        at: Instant,
+        target: &TargetId,
+        incarnation: Incarnation,
+    ) -> bool {
+        let unknown = Incarnation::default();
+        let same = |loss: &Loss| {
+            let started_alike = [incarnation, unknown].contains(&loss.incarnation);
+            loss.target == *target && (started_alike || incarnation == unknown)
+        };
+        match self.losses.iter().position(same) {
+            Some(index) => {
+                let loss = &mut self.losses[index];
+                loss.at = loss.at.max(at);
+                loss.incarnation = loss.incarnation.max(incarnation);
+                false
+            }
             None if self.losses.len() < LOSSES_MAX => {
-                self.losses.push((target.clone(), at));
-                return true;
+                self.losses.push(Loss { target: target.clone(), incarnation, at });
+                true
             }
-            None => {}
+            None => false,
         }
-        false
     }
 
     /// Notes a change that this process saw itself.
@@ -105,7 +131,7 @@
             Some(_) => settings.losses_to_refuse_answered,
             None => settings.losses_to_refuse,
         };
-        self.losses.iter().filter(|(_, at)| counts(*at)).count() >= needed
+        self.losses.iter().filter(|loss| counts(loss.at)).count() >= needed
     }
 
     pub(crate) fn losses(&self) -> usize {
@@ -113,11 +139,11 @@
     }
 
     pub(crate) fn last_loss(&self) -> Option<Instant> {
-        self.losses.iter().map(|(_, at)| *at).max()
+        self.losses.iter().map(|loss| loss.at).max()
     }
 
     pub(crate) fn expire(&mut self, now: Instant, window: Duration) {
-        self.losses.retain(|(_, at)| now.saturating_since(*at) < window);
+        self.losses.retain(|loss| now.saturating_since(loss.at) < window);
         self.answered = self.answered.filter(|at| now.saturating_since(*at) < window);
     }
 
@@ -127,7 +153,11 @@
         SuspectReport {
             fingerprint,
             losses: losses
-                .map(|(target, at)| LossReport { target: target.clone(), age_ms: age_ms(*at) })
+                .map(|loss| LossReport {
+                    target: loss.target.clone(),
+                    incarnation: loss.incarnation,
+                    age_ms: age_ms(loss.at),
+                })
                 .collect(),
             answered_age_ms: self.answered.map(age_ms),
         }
@@ -139,7 +169,7 @@
         let at = |age_ms: u64| now - Duration::from_millis(age_ms);
         let mut changed = false;
         for loss in report.losses.iter().filter(|loss| young(loss.age_ms)) {
-            changed |= self.lose(at(loss.age_ms), &loss.target);
+            changed |= self.lose(at(loss.age_ms), &loss.target, loss.incarnation);
         }
         if let Some(age_ms) = report.answered_age_ms.filter(|age_ms| young(*age_ms)) {
             let known = self.answered;
--- a/crates/dispatch/tests/crash_news.rs
+++ b/crates/dispatch/tests/crash_news.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtailmoor_core::{Instant, TargetId};
+use wagtailmoor_core::{Incarnation, Instant, TargetId};
 use wagtailmoor_dispatch::{CrashLedger, CrashSettings, Fingerprint, LedgerVersion};
 
 /// Nodes that report to the leader; slices of reports that come round after as many are the worst.
@@ -62,7 +62,12 @@
     fn lose_harmless(&mut self) {
         for number in 0..HARMLESS {
             let node = &mut self.nodes[number as usize % NODES];
-            node.record_loss(self.now, harmless(number), &target(number as u32 % 30));
+            node.record_loss(
+                self.now,
+                harmless(number),
+                &target(number as u32 % 30),
+                Incarnation::default(),
+            );
         }
     }
 
@@ -81,7 +86,7 @@
         (0..rounds_before).for_each(|_| site.report());
         for (node, lost) in [(3, 101), (17, 102), (40, 103)] {
             let now = site.now;
-            site.nodes[node].record_loss(now, CRASHING, &target(lost));
+            site.nodes[node].record_loss(now, CRASHING, &target(lost), Incarnation::default());
         }
         let crashed = site.now;
         while site.now.saturating_since(crashed) + REPORT_INTERVAL <= KNOWN_WITHIN {
@@ -97,7 +102,7 @@
     let mut site = Site::new();
     for (node, lost) in [(3, 101), (17, 102), (40, 103)] {
         let now = site.now;
-        site.nodes[node].record_loss(now, CRASHING, &target(lost));
+        site.nodes[node].record_loss(now, CRASHING, &target(lost), Incarnation::default());
     }
     site.lose_harmless();
     (0..100).for_each(|_| site.report());
@@ -116,7 +121,7 @@
     let mut site = Site::new();
     for (node, lost) in [(3, 101), (17, 102)] {
         let now = site.now;
-        site.nodes[node].record_loss(now, CRASHING, &target(lost));
+        site.nodes[node].record_loss(now, CRASHING, &target(lost), Incarnation::default());
     }
     site.report();
     site.leader = CrashLedger::new(CrashSettings::default()).with_id(2);
@@ -131,7 +136,7 @@
     let mut site = Site::new();
     for (node, lost) in [(3, 101), (17, 102)] {
         let now = site.now;
-        site.nodes[node].record_loss(now, CRASHING, &target(lost));
+        site.nodes[node].record_loss(now, CRASHING, &target(lost), Incarnation::default());
     }
     (0..2).for_each(|_| site.report());
     assert_eq!(site.refusing(), NODES);
@@ -147,10 +152,15 @@
     let mut ledger = CrashLedger::new(CrashSettings::default());
     let now = Instant::from_us(1_000_000_000);
     for lost in [101, 102] {
-        ledger.record_loss(now, CRASHING, &target(lost));
+        ledger.record_loss(now, CRASHING, &target(lost), Incarnation::default());
     }
     for number in 0..HARMLESS {
-        ledger.record_loss(now, harmless(number), &target(number as u32 % 30));
+        ledger.record_loss(
+            now,
+            harmless(number),
+            &target(number as u32 % 30),
+            Incarnation::default(),
+        );
     }
     for _ in 0..20 {
         let mut peer = CrashLedger::new(CrashSettings::default());
@@ -167,11 +177,16 @@
     let mut ledger = CrashLedger::new(settings.clone());
     let start = Instant::from_us(1_000_000_000);
     for lost in [101, 102, 103] {
-        ledger.record_loss(start, CRASHING, &target(lost));
+        ledger.record_loss(start, CRASHING, &target(lost), Incarnation::default());
     }
     for number in 0..3 * settings.fingerprints_max as u128 {
         let now = start + Duration::from_millis(number as u64);
-        ledger.record_loss(now, harmless(number), &target(number as u32 % 30));
+        ledger.record_loss(
+            now,
+            harmless(number),
+            &target(number as u32 % 30),
+            Incarnation::default(),
+        );
         assert!(ledger.refuses(now, CRASHING), "after {number} harmless losses");
     }
     assert!(ledger.len() <= settings.fingerprints_max);
--- a/crates/dispatch/tests/ledger.rs
+++ b/crates/dispatch/tests/ledger.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailmoor_core::{CustomerId, Instant, TargetId};
+use wagtailmoor_core::{CustomerId, Incarnation, Instant, TargetId};
 use wagtailmoor_dispatch::{CrashLedger, CrashSettings, Fingerprint, LatencyQuantile};
 
 const WINDOW_S: u64 = 600;
@@ -28,16 +28,31 @@
 #[test]
 fn refuses_after_losses_of_two_targets_until_they_expire() {
     let mut ledger = ledger();
-    assert!(!ledger.record_loss(at_s(0), request(1), &target(1)));
-    assert!(!ledger.record_loss(at_s(1), request(1), &target(1)));
+    assert!(!ledger.record_loss(at_s(0), request(1), &target(1), Incarnation::default()));
+    assert!(!ledger.record_loss(at_s(1), request(1), &target(1), Incarnation::default()));
     assert!(!ledger.refuses(at_s(1), request(1)));
-    assert!(ledger.record_loss(at_s(2), request(1), &target(2)));
+    assert!(ledger.record_loss(at_s(2), request(1), &target(2), Incarnation::default()));
     assert!(ledger.refuses(at_s(3), request(1)) && !ledger.refuses(at_s(3), request(2)));
     assert!(!ledger.refuses(at_s(1 + WINDOW_S), request(1)));
     ledger.expire(at_s(2 + WINDOW_S));
     assert!(ledger.is_empty());
 }
 
+/// Guards against a request that crashes one target again and again, because the target starts again
+/// under its id and all its losses count as one.
+#[test]
+fn each_start_of_a_target_counts() {
+    let mut ledger = ledger();
+    let start = Incarnation::new;
+    assert!(!ledger.record_loss(at_s(0), request(1), &target(1), start(100)));
+    assert!(!ledger.record_loss(at_s(0), request(1), &target(1), start(100)));
+    assert!(!ledger.record_loss(at_s(1), request(1), &target(1), Incarnation::default()));
+    let mut peer = CrashLedger::new(CrashSettings::default());
+    peer.merge(at_s(2), &ledger.report(at_s(2)));
+    assert!(ledger.record_loss(at_s(8), request(1), &target(1), start(8_000)));
+    assert!(peer.record_loss(at_s(8), request(1), &target(1), start(8_000)));
+}
+
 /// Guards against a harmless frequent request that is refused because another one crashed the
 /// targets that it was at.
 #[rstest]
@@ -55,7 +70,12 @@
             first.record_answer(at_s(second), request(1));
         }
         if losses.contains(&second) {
-            first.record_loss(at_s(second), request(1), &target(second as u32));
+            first.record_loss(
+                at_s(second),
+                request(1),
+                &target(second as u32),
+                Incarnation::default(),
+            );
         }
     }
     assert_eq!(first.refuses(at_s(6), request(1)), refused);
@@ -67,8 +87,8 @@
 #[test]
 fn adds_up_the_losses_of_peers() {
     let (mut first, mut second) = (ledger(), ledger());
-    first.record_loss(at_s(0), request(1), &target(1));
-    second.record_loss(at_s(5), request(1), &target(2));
+    first.record_loss(at_s(0), request(1), &target(1), Incarnation::default());
+    second.record_loss(at_s(5), request(1), &target(2), Incarnation::default());
     for second_of_test in 10..10 + WINDOW_S {
         let now = at_s(second_of_test);
         let reports = first.report(now);
@@ -88,7 +108,12 @@
     let mut ledger = ledger();
     let settings = CrashSettings::default();
     for number in 0..3000 {
-        ledger.record_loss(at_s(number as u64 / 100), request(number), &target(1));
+        ledger.record_loss(
+            at_s(number as u64 / 100),
+            request(number),
+            &target(1),
+            Incarnation::default(),
+        );
     }
     assert_eq!(ledger.len(), settings.fingerprints_max);
     let rounds = settings.fingerprints_max / settings.report_max;
--- a/crates/dispatch/tests/support/node.rs
+++ b/crates/dispatch/tests/support/node.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use wagtailmoor_core::{Instant, Outcome, Reason, Requests, TargetId, ZoneId};
+use wagtailmoor_core::{Incarnation, Instant, Outcome, Reason, Requests, TargetId, ZoneId};
 use wagtailmoor_dispatch::{
     AttemptId, ChoiceRequest, ClaimId, CrashLedger, CrashSettings, Fingerprint, InFlight,
     LatencyQuantile, LoadReport, Member, Observation, PlanInput, PlanOutput, PlanRequest,
@@ -305,7 +305,8 @@
             PlanOutput::Lost { target, sent_at } => {
                 cx.lost.entry(fingerprint).or_default().insert(target.clone());
                 self.known.entry(fingerprint).or_default().insert(target.clone());
-                let fingerprinted = self.ledger.record_loss(cx.now, fingerprint, &target);
+                let fingerprinted =
+                    self.ledger.record_loss(cx.now, fingerprint, &target, Incarnation::default());
                 self.observe(cx, &target, Observation::ConnectionLost { sent_at, fingerprinted });
             }
             PlanOutput::Finish(verdict) => {
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -7,7 +7,9 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use wagtailmoor_configuration::{BackEndKind, IdempotencyKeyUse, ResolvedRoute};
-use wagtailmoor_core::{Epoch, Instant, KeyHash, Outcome, Reason, SlotId, TargetId, Weight};
+use wagtailmoor_core::{
+    Epoch, Incarnation, Instant, KeyHash, Outcome, Reason, SlotId, TargetId, Weight,
+};
 use wagtailmoor_dispatch::{
     AttemptId, Fingerprint, Observation, RecordKey, RecordRefusal, RecordState, TimeBucket, Verdict,
 };
@@ -199,7 +201,8 @@
     fn lost(&self, call: &Call, fingerprint: Fingerprint, target: &TargetId, sent_at: Instant) {
         let now = self.now();
         let mut state = self.entry.state();
-        let fingerprinted = state.ledger.record_loss(now, fingerprint, target);
+        let fingerprinted =
+            state.ledger.record_loss(now, fingerprint, target, Incarnation::default());
         let seen = Observation::ConnectionLost { sent_at, fingerprinted };
         if let Some(back_end) = state.back_ends.get_mut(&call.back_end) {
             back_end.targets.observe(now, target, &seen);
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -261,7 +261,9 @@
     fn lost(&self, call: &Call, fingerprint: Fingerprint, target: &TargetId, _sent_at: Instant) {
         let now = self.now();
         let mut state = self.shared.write();
-        let crashes = state.ledger.record_loss(now, fingerprint, target);
+        let incarnation = state.registry.get(target).map(|known| known.incarnation);
+        let incarnation = incarnation.unwrap_or_default();
+        let crashes = state.ledger.record_loss(now, fingerprint, target, incarnation);
         let load = state.picker.load(target);
         load.failed(now);
         // A key has no other target, so its owner is tried again at once.
@@ -272,6 +274,7 @@
         Event::new("target-lost")
             .field("request", call.request_id.as_deref().unwrap_or("-"))
             .field("target", target)
+            .field("incarnation", incarnation)
             .field("fingerprint", fingerprint)
             .field("refused_from_now", crashes)
             .field("losses", state.ledger.losses(fingerprint))
