Give up a response that is no answer at its head, and bound the head and a refusal's body

A target in trouble may write bytes without end. Callers waited until their deadline for the body of a response that was no answer at all, or of a refusal, and got 504, although another target was free.

Cause: the body was read up to 1 MB before the head was looked at, and a head could grow to 400 KB.

Now the head decides first; what is no answer to the request closes the connection at once. The body of a refusal is waited for 20 ms and up to 4 KB, which keeps the connection of any normal one. A head ends at 64 KB. A head that trickles without end still takes until the request's deadline: it cannot be told from a slow target.

The test failed for both bodies (504) and passes; heads and bytes of no protocol without end passed before and are kept as guards.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -5,6 +5,7 @@
 use http::{Request, Response};
 use tokio::time::sleep;
 use wagtailmoor_core::{Epoch, SlotId, TargetId};
+use wagtailmoor_dispatch::ResponseHead;
 
 use crate::body::RequestBody;
 use crate::dialect::Dialect;
@@ -53,32 +54,42 @@
 
 /// Result of sending a request.
 pub(crate) enum Sent<P> {
-    /// The response head arrived.
-    Head(Box<Response<TargetBody>>, Connection<P>),
+    /// The head of a response to this request arrived.
+    Head(ResponseHead, Box<Response<TargetBody>>, Connection<P>),
     /// The connection was closed before a byte of the request was written.
     Unsent,
-    /// The connection failed.
+    /// The connection failed, or what came is no answer to this request.
     Lost,
 }
 
 /// Sends a request and waits for the response head, and for the body as far as it is kept.
-pub(crate) async fn send<P>(
-    mut connection: Connection<P>,
+pub(crate) async fn send<G: Gateway>(
+    gateway: &G,
+    call: &Call,
+    mut connection: Connection<G::ConnectionPermit>,
     request: Request<RequestBody>,
-    kept_max_bytes: usize,
-) -> Sent<P> {
-    match connection.sender.try_send_request(request).await {
-        Ok(response) => {
-            connection.note_idle_timeout(response.headers());
-            let (parts, body) = response.into_parts();
-            match TargetBody::read(body, kept_max_bytes).await {
-                Some(body) => Sent::Head(Box::new(Response::from_parts(parts, body)), connection),
+) -> Sent<G::ConnectionPermit> {
+    let response = match connection.sender.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut error) => {
+            return match error.take_message() {
+                Some(_) => Sent::Unsent,
                 None => Sent::Lost,
-            }
+            };
         }
-        Err(mut error) => match error.take_message() {
-            Some(_) => Sent::Unsent,
-            None => Sent::Lost,
-        },
+    };
+    connection.note_idle_timeout(response.headers());
+    let (parts, body) = response.into_parts();
+    let used = connection.was_used();
+    let head = gateway.dialect().response_head(call, parts.status, &parts.headers, used);
+    // The body of what is no answer may have no end, so it is not waited for.
+    let Some(head) = head else { return Sent::Lost };
+    let body = match head.not_run {
+        true => Some(TargetBody::read_refusal(body).await),
+        false => TargetBody::read(body, G::Dialect::ANSWER_KEPT_MAX_BYTES).await,
+    };
+    match body {
+        Some(body) => Sent::Head(head, Box::new(Response::from_parts(parts, body)), connection),
+        None => Sent::Lost,
     }
 }
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -273,8 +273,8 @@
 
     fn on_sent(&mut self, attempt: AttemptId, sent: Sent<G::ConnectionPermit>) -> Vec<PlanOutput> {
         match (sent, self.fault.get()) {
-            (Sent::Head(response, connection), _) => {
-                self.on_response(attempt, response, connection)
+            (Sent::Head(head, response, connection), _) => {
+                self.on_response(attempt, head, response, connection)
             }
             (_, Some(ClientFault::Gone)) => self.tracked.on(PlanInput::ClientGone),
             (_, Some(ClientFault::Stalled)) => self.tracked.on(PlanInput::ClientStalled),
@@ -286,21 +286,15 @@
     fn on_response(
         &mut self,
         attempt: AttemptId,
+        head: ResponseHead,
         response: Box<Response<TargetBody>>,
         connection: Connection<G::ConnectionPermit>,
     ) -> Vec<PlanOutput> {
         let gateway = Rc::clone(&self.tracked.gateway);
-        let (status, fields) = (response.status(), response.headers());
-        let head = gateway.dialect().response_head(
-            &self.tracked.call,
-            status,
-            fields,
-            connection.was_used(),
-        );
-        // An answer to another request leaves it open what the target did with this one.
-        let Some(head) = head else { return self.tracked.on(PlanInput::Lost { attempt }) };
         let destination = self.io(attempt).destination.clone();
-        if let (Some(destination), Some(load)) = (destination, gateway.dialect().load(fields)) {
+        if let (Some(destination), Some(load)) =
+            (destination, gateway.dialect().load(response.headers()))
+        {
             gateway.reported(&destination.target, load);
         }
         self.note_disowned(attempt, head);
@@ -402,8 +396,7 @@
             Event::Connected(attempt, attempt::connect(&*gateway, &pool, &call, &destination).await)
         }
         Step::Send(attempt, connection, request) => {
-            let kept_max_bytes = G::Dialect::ANSWER_KEPT_MAX_BYTES;
-            Event::Sent(attempt, attempt::send(connection, *request, kept_max_bytes).await)
+            Event::Sent(attempt, attempt::send(&*gateway, &call, connection, *request).await)
         }
         Step::Timer(at) => {
             sleep(at.saturating_since(gateway.now())).await;
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -27,6 +27,9 @@
 /// A lost network shows as a connection attempt without an answer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Heads of targets are far shorter; one without end must not fill the memory.
+const HEAD_MAX_BYTES: usize = 64 * 1024;
+
 /// A connection to a target with the permit under which it was opened.
 ///
 /// Dropping it closes the socket, so that the target cancels what it runs. Only
@@ -126,7 +129,9 @@
     // A request that was given up must not arrive after a partition healed, so a connection is
     // reset when it is closed.
     SockRef::from(&stream).set_linger(Some(Duration::ZERO)).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(HEAD_MAX_BYTES);
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
     let task = spawn_local(async move {
         // Errors reach the exchange that uses the connection.
         drop(connection.await);
--- a/crates/front/src/target_body.rs
+++ b/crates/front/src/target_body.rs
@@ -2,11 +2,37 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use tokio::time::timeout;
+
+/// A refusal has a short body or none; the connection of a longer one is closed.
+const REFUSAL_MAX_BYTES: usize = 4 * 1024;
+
+/// Time for the body of a refusal. The request waits for it, and a new connection takes about as long.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// How far a body was read.
+enum Read {
+    Whole,
+    Longer,
+    BrokenOff,
+}
+
+async fn collect(body: &mut Incoming, kept: &mut BytesMut, most_bytes: usize) -> Read {
+    while kept.len() < most_bytes {
+        match body.frame().await {
+            Some(Ok(frame)) => kept.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Some(Err(_)) => return Read::BrokenOff,
+            None => return Read::Whole,
+        }
+    }
+    Read::Longer
+}
 
 /// The body of a target's response.
 pub(crate) enum TargetBody {
@@ -25,15 +51,27 @@
     /// Reads a body up to a size, or returns `None` if it breaks off before.
     pub(crate) async fn read(mut body: Incoming, kept_max_bytes: usize) -> Option<Self> {
         let mut kept = BytesMut::new();
-        while kept.len() < kept_max_bytes {
-            match body.frame().await {
-                Some(Ok(frame)) => kept.extend_from_slice(&frame.into_data().unwrap_or_default()),
-                Some(Err(_)) => return None,
-                None => return Some(Self::Whole(Full::new(kept.freeze()))),
-            }
+        match collect(&mut body, &mut kept, kept_max_bytes).await {
+            Read::Whole => Some(Self::Whole(Full::new(kept.freeze()))),
+            Read::Longer => Some(Self::streamed(kept, body)),
+            Read::BrokenOff => None,
         }
+    }
+
+    /// Reads the short body of a refusal. It is not worth waiting for a longer one, whose connection
+    /// is closed then.
+    pub(crate) async fn read_refusal(mut body: Incoming) -> Self {
+        let mut kept = BytesMut::new();
+        let read = collect(&mut body, &mut kept, REFUSAL_MAX_BYTES);
+        match timeout(REFUSAL_TIMEOUT, read).await {
+            Ok(Read::Whole) => Self::Whole(Full::new(kept.freeze())),
+            _ => Self::streamed(kept, body),
+        }
+    }
+
+    fn streamed(kept: BytesMut, rest: Incoming) -> Self {
         let beginning = Some(kept.freeze()).filter(|bytes| !bytes.is_empty());
-        Some(Self::Streamed { beginning, rest: body })
+        Self::Streamed { beginning, rest }
     }
 
     /// Returns whether the body was read in full.
