Close connections of requests that open one of their own

Cause: requests that may not be repeated always open a connection of their own, but it was put back into the pool, where nothing took it out again until it was idle for too long. About 500 a second stayed open.

Now it is closed when its answer ends.

--- a/crates/front/src/answer_body.rs
+++ b/crates/front/src/answer_body.rs
@@ -137,8 +137,12 @@
 
     fn end(&mut self) {
         self.tracked.on(PlanInput::BodyEnded { attempt: self.attempt });
-        if let Some(connection) = self.connection.connection.take() {
-            self.connection.pool.put_back(connection);
+        match self.connection.connection.take() {
+            Some(connection) if !self.tracked.call.fresh_connection => {
+                self.connection.pool.put_back(connection);
+            }
+            // Nothing would take it out of the pool while more come.
+            closed => drop(closed),
         }
     }
 }
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -311,9 +311,10 @@
 
     /// Keeps the connection of a refused attempt whose response was read in full.
     fn put_back(&mut self, attempt: AttemptId) {
+        let kept = !self.tracked.call.fresh_connection;
         let io = self.io(attempt);
         match (io.response.take(), io.connection.take()) {
-            (Some(response), Some(connection)) if response.body().is_whole() => {
+            (Some(response), Some(connection)) if kept && response.body().is_whole() => {
                 self.pool.put_back(connection);
             }
             _ => {}
--- a/crates/front/tests/support/gateway.rs
+++ b/crates/front/tests/support/gateway.rs
@@ -110,7 +110,7 @@
             record: head.idempotency_key.map(Into::into),
             shard_key: None,
             bulk: false,
-            fresh_connection: false,
+            fresh_connection: head.path == "/own-connection",
             plan: PlanSettings {
                 trusts_refusals: true,
                 trusts_misdirected: true,
