--- a/crates/admission/src/target_load.rs
+++ b/crates/admission/src/target_load.rs
@@ -67,7 +67,7 @@
 
     /// Takes a load report.
     pub fn report(&mut self, now: Instant, sample: LoadSample) {
-        let all = f64::from(sample.running.get() + sample.waiting.get());
+        let all = f64::from(sample.running.get()) + f64::from(sample.waiting.get());
         // The answered request still counts here and no longer does there.
         let own = f64::from(self.running.get().saturating_sub(1));
         self.others = (all - own).max(0.0);
--- a/crates/admission/tests/targets.rs
+++ b/crates/admission/tests/targets.rs
@@ -154,3 +154,12 @@
     assert!(overloaded.queue < 0.0);
     assert!(overloaded.rate_per_s < 1.1 * healthy.rate_per_s);
 }
+
+// Guards against a load report of a faulty target that stops the process or makes it look idle.
+#[test]
+fn a_report_of_any_size_is_counted() {
+    let mut picker = TargetPicker::default();
+    let known = picker.load(&"i-1".parse().unwrap());
+    known.report(at(1_000), load(u32::MAX, u32::MAX));
+    assert!(!known.has_room(at(1_000), u32::MAX));
+}
