Count what a target that fell silent had not answered as lost with it

Cause: only a reset after bytes were sent counted as a loss. A request that crashes targets whose connections are not reset (the host is gone, or a partition hides the reset) ran into its deadline each time, nothing was counted, and its callers' next requests ended further targets.

The line target-ended-silently says so.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -55,6 +55,7 @@
 mod target;
 mod target_settings;
 mod target_table;
+mod unanswered_requests;
 mod verdict;
 
 pub use attempt::AttemptState;
@@ -91,4 +92,5 @@
 pub use suspect_news::{LedgerVersion, SuspectNews};
 pub use target_settings::TargetSettings;
 pub use target_table::{ChoiceRequest, Chosen, TargetTable};
+pub use unanswered_requests::UnansweredRequests;
 pub use verdict::{Ending, Verdict};
--- a/crates/dispatch/tests/ledger.rs
+++ b/crates/dispatch/tests/ledger.rs
@@ -4,7 +4,9 @@
 
 use rstest::rstest;
 use wagtailmoor_core::{CustomerId, Incarnation, Instant, TargetId};
-use wagtailmoor_dispatch::{CrashLedger, CrashSettings, Fingerprint, LatencyQuantile};
+use wagtailmoor_dispatch::{
+    CrashLedger, CrashSettings, Fingerprint, LatencyQuantile, UnansweredRequests,
+};
 
 const WINDOW_S: u64 = 600;
 
@@ -152,3 +154,17 @@
         assert!((940 * factor..=950 * factor * 9 / 8).contains(&estimate_us), "{estimate_us}");
     }
 }
+
+/// Guards against a request that crashes targets without a reset of their connections, and against
+/// one that is blamed for the end of a target that it was not at.
+#[test]
+fn what_a_silent_target_had_is_lost_with_it() {
+    let mut unanswered = UnansweredRequests::default();
+    let start = Incarnation::new;
+    unanswered.add(at_s(0), request(1), &target(1), start(100));
+    unanswered.add(at_s(1), request(2), &target(2), start(100));
+    assert_eq!(unanswered.take_ended(at_s(5), &target(1), start(200)), []);
+    assert_eq!(unanswered.take_ended(at_s(5), &target(1), start(100)), [request(1)]);
+    assert_eq!(unanswered.take_ended(at_s(5), &target(1), start(100)), []);
+    assert_eq!(unanswered.take_ended(at_s(60), &target(2), start(100)), [], "long ago");
+}
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -217,6 +217,9 @@
             .warn();
     }
 
+    /// No registry tells this process when a target that fell silent has ended.
+    fn unanswered(&self, _: &Call, _: Fingerprint, _: &TargetId, _: Duration) {}
+
     fn reported(&self, _target: &TargetId, (): ()) {}
 
     fn disowned(&self, call: &Call, target: &TargetId, ownership: Option<(SlotId, Epoch)>) {
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -10,7 +10,8 @@
 use tokio::time::sleep;
 use wagtailmoor_core::{Instant, Outcome, Reason, TargetId};
 use wagtailmoor_dispatch::{
-    AttemptId, Fingerprint, PlanInput, PlanOutput, PlanRequest, RequestPlan, ResponseHead, Verdict,
+    AttemptId, Fingerprint, Observation, PlanInput, PlanOutput, PlanRequest, RequestPlan,
+    ResponseHead, Verdict,
 };
 
 use crate::answer_body::{AnswerBody, CheckedOut};
@@ -80,6 +81,9 @@
             match output {
                 PlanOutput::Observe { target, seen } => {
                     self.gateway.observe(&self.call, target, seen);
+                    if let Observation::Cancelled { waited } = seen {
+                        self.gateway.unanswered(&self.call, self.fingerprint, target, *waited);
+                    }
                 }
                 PlanOutput::Lost { target, sent_at } => {
                     self.gateway.lost(&self.call, self.fingerprint, target, *sent_at);
--- a/crates/front/src/gateway.rs
+++ b/crates/front/src/gateway.rs
@@ -187,6 +187,15 @@
     /// Takes the loss of a connection that carried a request.
     fn lost(&self, call: &Call, fingerprint: Fingerprint, target: &TargetId, sent_at: Instant);
 
+    /// Takes a request that a target had not answered after a time, when it was given up.
+    fn unanswered(
+        &self,
+        call: &Call,
+        fingerprint: Fingerprint,
+        target: &TargetId,
+        waited: Duration,
+    );
+
     /// Takes the load that a target reports with an answer.
     fn reported(&self, target: &TargetId, load: <Self::Dialect as Dialect>::Load);
 
--- a/crates/front/tests/support/gateway.rs
+++ b/crates/front/tests/support/gateway.rs
@@ -198,6 +198,8 @@
         self.record(Event::new("lost").field("target", target));
     }
 
+    fn unanswered(&self, _call: &Call, _print: Fingerprint, _target: &TargetId, _: Duration) {}
+
     fn reported(&self, _target: &TargetId, (): ()) {}
 
     fn disowned(&self, _call: &Call, target: &TargetId, ownership: Option<(SlotId, Epoch)>) {
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -254,6 +254,10 @@
     state.drop_gone(now);
     let Some(content) = &row.content else {
         if let Ok(target) = row.key.parse() {
+            let known = state.registry.get(&target).map(|known| known.incarnation);
+            if let Some(incarnation) = known {
+                state.note_ended(now, &target, incarnation);
+            }
             state.registry.remove(now, &target);
             Event::new("target-gone").field("target", target).info();
         }
@@ -269,12 +273,14 @@
                 .field("state", format!("{:?}", target.state))
                 .optional("cold_ms", target.cold_for.map(|cold| cold.as_millis()));
             let id = target.target.clone();
+            let before = state.registry.get(&id).map(|known| known.incarnation);
             match state.registry.upsert(now, target) {
                 RegistryChange::None => {}
                 RegistryChange::Changed => event.field("change", "changed").info(),
                 RegistryChange::Joined => event.field("change", "joined").info(),
                 RegistryChange::Restarted => {
                     state.picker.forget(&id);
+                    state.note_ended(now, &id, before.unwrap_or_default());
                     event.field("change", "restarted").info();
                 }
             }
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -46,6 +46,9 @@
 /// Time for which a target that refused a request as full is avoided.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
+/// Time after which a request that is given up has surely been sent to its target.
+const UNANSWERED_MIN: Duration = Duration::from_millis(300);
+
 /// Time that must be left for a further attempt.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(60);
 
@@ -282,6 +285,24 @@
             .warn();
     }
 
+    fn unanswered(
+        &self,
+        _call: &Call,
+        fingerprint: Fingerprint,
+        target: &TargetId,
+        waited: Duration,
+    ) {
+        // Before, a connection may not even have been made.
+        if waited < UNANSWERED_MIN {
+            return;
+        }
+        let now = self.now();
+        let mut state = self.shared.write();
+        let incarnation = state.registry.get(target).map(|known| known.incarnation);
+        let incarnation = incarnation.unwrap_or_default();
+        state.unanswered.add(now, fingerprint, target, incarnation);
+    }
+
     fn reported(&self, target: &TargetId, load: LoadSample) {
         let now = self.now();
         let mut state = self.shared.write();
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -10,12 +10,14 @@
     ColdGate, CustomerLimits, LimitIssuer, LimitSettings, TargetPicker, TargetSpeeds,
 };
 use wagtailmoor_core::{
-    BackEndId, Clock, Instant, NodeId, PartsPerMillion, RowVersion, ShardKey, SortedVec,
+    BackEndId, Clock, Incarnation, Instant, NodeId, PartsPerMillion, RowVersion, ShardKey,
+    SortedVec, TargetId,
 };
-use wagtailmoor_dispatch::{CrashLedger, CrashSettings, LedgerVersion};
+use wagtailmoor_dispatch::{CrashLedger, CrashSettings, LedgerVersion, UnansweredRequests};
 use wagtailmoor_limits::RetryBudget;
 use wagtailmoor_ranges::{AssignmentTable, EndedTargets, Granter, RangeShare};
 use wagtailmoor_site::{Registry, SiteConfig};
+use wagtailmoor_telemetry::Event;
 
 use crate::NodeAddress;
 use crate::admitted_shares::AdmittedShares;
@@ -52,6 +54,8 @@
     pub(crate) customers: CustomerLimits,
     pub(crate) cold: ColdGate,
     pub(crate) ledger: CrashLedger,
+    /// Requests whose targets did not answer, in case these turn out to have ended.
+    pub(crate) unanswered: UnansweredRequests,
     /// What this node knows of the requests that the leader refuses.
     pub(crate) suspects_known: LedgerVersion,
     pub(crate) budgets: SortedVec<BackEndId, RetryBudget>,
@@ -138,6 +142,7 @@
             customers: CustomerLimits::new(limits),
             cold: ColdGate::default(),
             ledger: CrashLedger::new(crash_settings).with_id(seed),
+            unanswered: UnansweredRequests::default(),
             suspects_known: LedgerVersion::default(),
             budgets: SortedVec::new(),
             key_counts: SortedVec::new(),
@@ -239,6 +244,21 @@
         }
     }
 
+    /// Counts the requests that a target had when it ended as lost with it.
+    pub(crate) fn note_ended(&mut self, now: Instant, target: &TargetId, incarnation: Incarnation) {
+        for fingerprint in self.unanswered.take_ended(now, target, incarnation) {
+            let crashes = self.ledger.record_loss(now, fingerprint, target, incarnation);
+            self.stats.count("target-ended-silently");
+            Event::new("target-ended-silently")
+                .field("target", target)
+                .field("incarnation", incarnation)
+                .field("fingerprint", fingerprint)
+                .field("refused_from_now", crashes)
+                .field("losses", self.ledger.losses(fingerprint))
+                .warn();
+        }
+    }
+
     /// Returns the retry budget of a back end.
     pub(crate) fn budget(
         &mut self,
