--- a/crates/front/src/answer_body.rs
+++ b/crates/front/src/answer_body.rs
@@ -9,10 +9,10 @@
 use tokio::time::{Sleep, sleep};
 use wagtailmoor_dispatch::{AttemptId, PlanInput, PlanOutput};
 
-use crate::exchange::Tracked;
 use crate::gateway::Gateway;
 use crate::pool::{Connection, SharedPool};
 use crate::target_body::TargetBody;
+use crate::tracked::Tracked;
 
 /// The answer was cut short. The client's connection is closed before the announced end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -9,10 +9,7 @@
 use http::Response;
 use tokio::time::sleep;
 use wagtailmoor_core::{Instant, Outcome, Reason, TargetId};
-use wagtailmoor_dispatch::{
-    AttemptId, Fingerprint, Observation, PlanInput, PlanOutput, PlanRequest, RequestPlan,
-    ResponseHead, Verdict,
-};
+use wagtailmoor_dispatch::{AttemptId, Fingerprint, PlanInput, PlanOutput, ResponseHead, Verdict};
 
 use crate::answer_body::{AnswerBody, CheckedOut};
 use crate::attempt::{self, Destination, Sent};
@@ -24,6 +21,7 @@
 use crate::refusal::Refusal;
 use crate::target_body::TargetBody;
 use crate::target_request::TargetRequest;
+use crate::tracked::Tracked;
 
 /// What a step of the exchange waits for.
 enum Step<P> {
@@ -50,65 +48,6 @@
     running: Option<AbortHandle>,
 }
 
-/// The plan of a request with what is needed to report its end exactly once.
-pub(crate) struct Tracked<G: Gateway> {
-    pub(crate) gateway: Rc<G>,
-    pub(crate) call: Rc<Call>,
-    pub(crate) fingerprint: Fingerprint,
-    pub(crate) plan: RequestPlan<G::Guard>,
-    budget: G::Budget,
-    finished: bool,
-}
-
-impl<G: Gateway> Tracked<G> {
-    /// Passes an input to the plan and acts on what concerns the decisions.
-    pub(crate) fn on(&mut self, input: PlanInput<G::Guard>) -> Vec<PlanOutput> {
-        let now = self.gateway.now();
-        let outputs = self.plan.on(now, input, &mut self.budget);
-        self.report(&outputs);
-        outputs
-    }
-
-    fn start(&mut self) -> Vec<PlanOutput> {
-        let now = self.gateway.now();
-        let outputs = self.plan.start(now, &mut self.budget);
-        self.report(&outputs);
-        outputs
-    }
-
-    fn report(&mut self, outputs: &[PlanOutput]) {
-        for output in outputs {
-            match output {
-                PlanOutput::Observe { target, seen } => {
-                    self.gateway.observe(&self.call, target, seen);
-                    if let Observation::Cancelled { waited } = seen {
-                        self.gateway.unanswered(&self.call, self.fingerprint, target, *waited);
-                    }
-                }
-                PlanOutput::Lost { target, sent_at } => {
-                    self.gateway.lost(&self.call, self.fingerprint, target, *sent_at);
-                }
-                PlanOutput::Finish(verdict) => self.finish(verdict),
-                _ => {}
-            }
-        }
-    }
-
-    fn finish(&mut self, verdict: &Verdict) {
-        self.finished = true;
-        self.gateway.finish(&self.call, Some(self.fingerprint), verdict);
-    }
-}
-
-impl<G: Gateway> Drop for Tracked<G> {
-    /// Hyper drops an exchange when the client's connection is gone.
-    fn drop(&mut self) {
-        if !self.finished {
-            self.on(PlanInput::ClientGone);
-        }
-    }
-}
-
 /// A request that was admitted.
 pub(crate) struct Start<G: Gateway> {
     pub(crate) call: Rc<Call>,
@@ -140,18 +79,8 @@
         start: Start<G>,
     ) -> Self {
         let Start { call, fingerprint, request, body, fault, credit } = start;
-        let plan = RequestPlan::new(
-            call.plan.clone(),
-            PlanRequest {
-                id: call.id,
-                idempotent: call.idempotent,
-                replayable: matches!(body, Collected::Whole(_)),
-                deadline: call.deadline,
-                hedge_after: call.hedge_after,
-            },
-        );
-        let budget = gateway.budget(&call);
-        let tracked = Tracked { gateway, call, fingerprint, plan, budget, finished: false };
+        let replayable = matches!(body, Collected::Whole(_));
+        let tracked = Tracked::new(gateway, call, fingerprint, replayable);
         let (credit, body) = (Some(credit), Some(body));
         Self { pool, request, body, fault, credit, attempts: Vec::new(), tracked }
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,6 +18,7 @@
 mod server;
 mod target_body;
 mod target_request;
+mod tracked;
 
 pub use answer_body::AnswerBody;
 pub use dialect::{AttemptHead, Dialect};
--- /dev/null
+++ b/crates/front/src/tracked.rs
@@ -0,0 +1,88 @@
+//! The plan of a request and what the gateway is told of it.
+
+use std::rc::Rc;
+
+use wagtailmoor_dispatch::{
+    Fingerprint, Observation, PlanInput, PlanOutput, PlanRequest, RequestPlan, Verdict,
+};
+
+use crate::gateway::{Call, Gateway};
+
+/// The plan of a request with what is needed to report its end exactly once.
+pub(crate) struct Tracked<G: Gateway> {
+    pub(crate) gateway: Rc<G>,
+    pub(crate) call: Rc<Call>,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) plan: RequestPlan<G::Guard>,
+    budget: G::Budget,
+    finished: bool,
+}
+
+impl<G: Gateway> Tracked<G> {
+    pub(crate) fn new(
+        gateway: Rc<G>,
+        call: Rc<Call>,
+        fingerprint: Fingerprint,
+        replayable: bool,
+    ) -> Self {
+        let plan = RequestPlan::new(
+            call.plan.clone(),
+            PlanRequest {
+                id: call.id,
+                idempotent: call.idempotent,
+                replayable,
+                deadline: call.deadline,
+                hedge_after: call.hedge_after,
+            },
+        );
+        let budget = gateway.budget(&call);
+        Self { gateway, call, fingerprint, plan, budget, finished: false }
+    }
+
+    /// Passes an input to the plan and acts on what concerns the decisions.
+    pub(crate) fn on(&mut self, input: PlanInput<G::Guard>) -> Vec<PlanOutput> {
+        let now = self.gateway.now();
+        let outputs = self.plan.on(now, input, &mut self.budget);
+        self.report(&outputs);
+        outputs
+    }
+
+    pub(crate) fn start(&mut self) -> Vec<PlanOutput> {
+        let now = self.gateway.now();
+        let outputs = self.plan.start(now, &mut self.budget);
+        self.report(&outputs);
+        outputs
+    }
+
+    fn report(&mut self, outputs: &[PlanOutput]) {
+        for output in outputs {
+            match output {
+                PlanOutput::Observe { target, seen } => {
+                    self.gateway.observe(&self.call, target, seen);
+                    if let Observation::Cancelled { waited } = seen {
+                        self.gateway.unanswered(&self.call, self.fingerprint, target, *waited);
+                    }
+                }
+                PlanOutput::Lost { target, sent_at } => {
+                    self.gateway.lost(&self.call, self.fingerprint, target, *sent_at);
+                }
+                PlanOutput::Finish(verdict) => self.finish(verdict),
+                _ => {}
+            }
+        }
+    }
+
+    fn finish(&mut self, verdict: &Verdict) {
+        self.finished = true;
+        self.gateway.finish(&self.call, Some(self.fingerprint), verdict);
+    }
+}
+
+impl<G: Gateway> Drop for Tracked<G> {
+    /// Hyper drops an exchange when the client's connection is gone.
+    fn drop(&mut self) {
+        if !self.finished {
+            self.on(PlanInput::ClientGone);
+        }
+    }
+}
--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -15,9 +15,9 @@
 use wagtailmoor_telemetry::Event;
 
 use crate::feeds::RANGES_TABLE;
-use crate::gateway::USUAL_LATENCY;
 use crate::leader_loop::write_id;
 use crate::state::{RouterState, Shared};
+use crate::target_choice::USUAL_LATENCY;
 use crate::target_control::{GrantCall, ReleaseCall, TargetControl};
 
 /// Longest time between looks at the granters.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -30,6 +30,7 @@
 mod site_decoder;
 mod state;
 mod stats;
+mod target_choice;
 mod target_control;
 
 pub use boot_clock::BootClock;
