--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -31,3 +31,4 @@
 pub use store_error::StoreError;
 pub use stored_row::StoredRow;
 pub use table::{Row, RowWrite, Table, WriteOutcome, write_and_confirm};
+pub use wire::percent_encode;
--- a/crates/store/src/wire.rs
+++ b/crates/store/src/wire.rs
@@ -74,7 +74,7 @@
 }
 
 /// Encodes a name for a path segment or query.
-pub(crate) fn percent_encode(text: &str) -> String {
+pub fn percent_encode(text: &str) -> String {
     let mut encoded = String::with_capacity(text.len());
     for byte in text.bytes() {
         match byte {
