Take answers of several nodes as they come, and hear at once of tables that are followed anew

Cause: three nodes were asked at a time, but their answers were taken one in 200 ms, because the pause before the next calls stood between the answers. And a node that took the store over knew the operators' table at once, but waited 0.4 s for a change of the targets' table before it could say that it hears the store.

Now the pause delays calls only, and the first call for a table that was not followed does not wait.

--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -52,6 +52,9 @@
 /// A leader that was not heard of for this long does not pass on owners either.
 const LEADER_SILENCE_MAX: Duration = Duration::from_millis(1_000);
 
+/// Time after the wait of its last call for a table at which a node follows the table anew.
+const ANEW_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Failures in a row after which the store counts as out of reach.
 const FAILURES_TO_DOWN: u32 = 2;
 
@@ -86,7 +89,7 @@
         after = after.map(|after| after.max(relayed));
         let page = match after {
             None => feed.snapshot(table).await,
-            Some(after) => feed.changes(table, after, wait).await,
+            Some(after) => feed.changes(table, after, first_wait(&shared, table, wait)).await,
         };
         match page {
             Ok(page) => {
@@ -127,6 +130,16 @@
     state.follows_store(now) && !others_tell
 }
 
+/// Returns how long a call waits for changes. One that follows the store anew does not wait: others
+/// rely on what it knows as soon as the store answered for each table.
+fn first_wait(shared: &Shared, table: &str, wait: Duration) -> Duration {
+    let heard = shared.read().tables_heard.get(table).copied().unwrap_or_default();
+    match shared.now().saturating_since(heard) > wait + ANEW_AFTER {
+        true => Duration::ZERO,
+        false => wait,
+    }
+}
+
 /// Ends the search for the store's return on a node that hears of changes from another one.
 fn forget_outage(shared: &Shared) {
     let now = shared.now();
--- a/crates/router/src/row_source.rs
+++ b/crates/router/src/row_source.rs
@@ -57,36 +57,43 @@
 pub(crate) async fn run<S: SiteDecoder>(shared: Shared, link: PeerLink, decoder: Rc<S>) {
     let mut asked: Vec<Asked> = Vec::new();
     let mut calls = FuturesUnordered::new();
+    let mut ask_at = shared.now();
     loop {
-        for peer in next_peers(&shared, &asked) {
-            asked.push(Asked { peer, since: shared.now(), late: false });
-            let (link, known) = (link.clone(), known_rows::<S>(&shared));
-            calls.push(async move { PeerAnswer { peer, missed: link.rows(peer, known).await } });
-        }
-        let answer = match asked.iter().filter(|call| !call.late).map(|call| call.since).min() {
-            _ if asked.is_empty() => {
-                sleep(IDLE_PAUSE).await;
-                continue;
-            }
-            // All nodes that were asked are late, and others may be asked soon.
-            None => timeout(IDLE_PAUSE, calls.next()).await,
-            Some(since) => {
-                let late_in = (since + LATE_AFTER).saturating_since(shared.now());
-                timeout(late_in, calls.next()).await
+        if shared.now() >= ask_at {
+            for peer in next_peers(&shared, &asked) {
+                asked.push(Asked { peer, since: shared.now(), late: false });
+                let (link, known) = (link.clone(), known_rows::<S>(&shared));
+                calls
+                    .push(async move { PeerAnswer { peer, missed: link.rows(peer, known).await } });
             }
-        };
-        match answer {
+        }
+        let left = next_look(&asked, shared.now(), ask_at);
+        if asked.is_empty() {
+            sleep(left).await;
+            continue;
+        }
+        match timeout(left, calls.next()).await {
+            // Answers that came together are taken at once; only the next calls wait.
             Ok(Some(answer)) => {
                 let call = asked.iter().position(|call| call.peer == answer.peer);
                 let call = asked.swap_remove(call.expect("each call is noted"));
                 take_answer(&shared, &*decoder, call, answer);
-                sleep(pause(&shared)).await;
+                ask_at = shared.now() + pause(&shared);
             }
             _ => note_late(&shared, &mut asked),
         }
     }
 }
 
+/// Returns the time until further nodes may be asked or a node that was asked is late.
+fn next_look(asked: &[Asked], now: Instant, ask_at: Instant) -> Duration {
+    let late_at = asked.iter().filter(|call| !call.late).map(|call| call.since + LATE_AFTER).min();
+    let may_ask = Some(ask_at).filter(|at| now < *at);
+    let idle = now + IDLE_PAUSE;
+    let next = late_at.into_iter().chain(may_ask).min().unwrap_or(idle);
+    next.min(idle).saturating_since(now)
+}
+
 fn next_peers(shared: &Shared, asked: &[Asked]) -> Vec<SocketAddr> {
     let asked: Vec<SocketAddr> = asked.iter().map(|call| call.peer).collect();
     let mut state = shared.write();
