Let the pool close connections of one exchange, and look at the crash ledger where a target is taken

The check whether a connection goes back stood at both callers of the pool; it is a property of the connection, and put_back decides. The look at the ledger carried the fingerprint through a step; the exchange has it where the step ends. The condition by which two losses are the same is written in its two cases. Behaviour stays as it is.

--- a/crates/dispatch/src/suspect.rs
+++ b/crates/dispatch/src/suspect.rs
@@ -68,8 +68,8 @@
     ) -> bool {
         let unknown = Incarnation::default();
         let same = |loss: &Loss| {
-            let started_alike = [incarnation, unknown].contains(&loss.incarnation);
-            loss.target == *target && (started_alike || incarnation == unknown)
+            let one_unknown = [loss.incarnation, incarnation].contains(&unknown);
+            loss.target == *target && (loss.incarnation == incarnation || one_unknown)
         };
         match self.losses.iter().position(same) {
             Some(index) => {
--- a/crates/front/src/answer_body.rs
+++ b/crates/front/src/answer_body.rs
@@ -137,12 +137,8 @@
 
     fn end(&mut self) {
         self.tracked.on(PlanInput::BodyEnded { attempt: self.attempt });
-        match self.connection.connection.take() {
-            Some(connection) if !self.tracked.call.fresh_connection => {
-                self.connection.pool.put_back(connection);
-            }
-            // Nothing would take it out of the pool while more come.
-            closed => drop(closed),
+        if let Some(connection) = self.connection.connection.take() {
+            self.connection.pool.put_back(connection);
         }
     }
 }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -36,7 +36,8 @@
         Some(connection) => Some(connection),
         None => {
             let permit = gateway.connection_permit(call, &destination.target).await?;
-            let connection = pool::open(destination.address, Some(permit)).await?;
+            let single_use = call.fresh_connection;
+            let connection = pool::open(destination.address, Some(permit), single_use).await?;
             settle::<G>(connection).await
         }
     }
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -25,7 +25,7 @@
 
 /// What a step of the exchange waits for.
 enum Step<P> {
-    Choose(AttemptId, Vec<TargetId>, Fingerprint),
+    Choose(AttemptId, Vec<TargetId>),
     Connect(AttemptId, Destination),
     Send(AttemptId, Connection<P>, Box<http::Request<RequestBody>>),
     Timer(Instant),
@@ -129,8 +129,7 @@
                         running: None,
                     });
                     let tried = self.tracked.plan.tried();
-                    let choose = Step::Choose(*attempt, tried, self.tracked.fingerprint);
-                    started.push((Some(*attempt), choose));
+                    started.push((Some(*attempt), Step::Choose(*attempt, tried)));
                 }
                 PlanOutput::Connect { attempt, .. } => {
                     let destination = self.io(*attempt).destination.clone();
@@ -185,6 +184,10 @@
 
     fn on_event(&mut self, event: Event<G>) -> Vec<PlanOutput> {
         match event {
+            // A loss may have been noted after the request was admitted, by this request too.
+            Event::Assigned(attempt, Ok(_)) if self.tracked.crashes_targets() => {
+                self.tracked.on(PlanInput::NoTarget { attempt, reason: Reason::CrashesTargets })
+            }
             Event::Assigned(attempt, Ok(assigned)) => {
                 let Assigned { target, address, guard, ownership, send_before } = assigned;
                 let destination = Destination { target: target.clone(), address, ownership };
@@ -244,10 +247,9 @@
 
     /// Keeps the connection of a refused attempt whose response was read in full.
     fn put_back(&mut self, attempt: AttemptId) {
-        let kept = !self.tracked.call.fresh_connection;
         let io = self.io(attempt);
         match (io.response.take(), io.connection.take()) {
-            (Some(response), Some(connection)) if kept && response.body().is_whole() => {
+            (Some(response), Some(connection)) if response.body().is_whole() => {
                 self.pool.put_back(connection);
             }
             _ => {}
@@ -316,15 +318,8 @@
     step: Step<G::ConnectionPermit>,
 ) -> Event<G> {
     match step {
-        Step::Choose(attempt, tried, fingerprint) => {
-            let assigned = gateway.assign(&call, &tried).await;
-            // A loss may have been noted after the request was admitted, by this request too.
-            let assigned =
-                assigned.and_then(|assigned| match gateway.crashes_targets(fingerprint) {
-                    true => Err(Reason::CrashesTargets),
-                    false => Ok(assigned),
-                });
-            Event::Assigned(attempt, assigned)
+        Step::Choose(attempt, tried) => {
+            Event::Assigned(attempt, gateway.assign(&call, &tried).await)
         }
         Step::Connect(attempt, destination) => {
             Event::Connected(attempt, attempt::connect(&*gateway, &pool, &call, &destination).await)
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -42,6 +42,9 @@
     idle_max: Duration,
     /// Whether an earlier request was answered on it.
     used: bool,
+    /// Whether it is closed when its exchange ends. Requests that open a connection of their own take
+    /// none out of the pool, where such connections would pile up.
+    single_use: bool,
     permit: Option<P>,
 }
 
@@ -98,9 +101,9 @@
         None
     }
 
-    /// Keeps a connection whose last exchange ended cleanly.
+    /// Keeps a connection whose last exchange ended cleanly, unless it is for one exchange only.
     pub(crate) fn put_back(&self, mut connection: Connection<P>) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.single_use {
             return;
         }
         connection.used = true;
@@ -123,7 +126,11 @@
 }
 
 /// Opens a connection.
-pub(crate) async fn open<P>(target: SocketAddr, permit: Option<P>) -> Option<Connection<P>> {
+pub(crate) async fn open<P>(
+    target: SocketAddr,
+    permit: Option<P>,
+    single_use: bool,
+) -> Option<Connection<P>> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
     // A request that was given up must not arrive after a partition healed, so a connection is
@@ -137,7 +144,7 @@
         drop(connection.await);
     });
     let task = task.abort_handle();
-    Some(Connection { sender, target, task, idle_max: IDLE_MAX, used: false, permit })
+    Some(Connection { sender, target, task, idle_max: IDLE_MAX, used: false, single_use, permit })
 }
 
 /// A pool shared by the exchanges of one process.
--- a/crates/front/src/tracked.rs
+++ b/crates/front/src/tracked.rs
@@ -39,6 +39,11 @@
         Self { gateway, call, fingerprint, plan, budget, finished: false }
     }
 
+    /// Returns whether the request crashes targets, by what is known now.
+    pub(crate) fn crashes_targets(&self) -> bool {
+        self.gateway.crashes_targets(self.fingerprint)
+    }
+
     /// Passes an input to the plan and acts on what concerns the decisions.
     pub(crate) fn on(&mut self, input: PlanInput<G::Guard>) -> Vec<PlanOutput> {
         let now = self.gateway.now();
