Bound the report interval and derive the lifetimes of reports from it

Cause: nodes reported to the leader every 6 ms for each node of the site, 1.77 s at 295 nodes, while reports and replies expired after 1.0 to 1.2 s. Every node was overdue a third of the time: refills of the customers' accounts shrank, accounts were charged again and again, and customers within their rate were refused. Candidates and followers of the owners took the leader as failed after 1.0 to 1.1 s as well.

Change: ReportTiming holds the interval (150 to 300 ms, 1 ms for each node) and the lifetimes that follow from its upper bound. The issuer keeps the total demand of each customer up to date with each report instead of summing over all nodes, speeds are pruned once a second, and the list of nodes gets a new version once a second at most. Report intervals are jittered.

--- a/crates/admission/src/customer_limits.rs
+++ b/crates/admission/src/customer_limits.rs
@@ -7,7 +7,7 @@
 use wagtailmoor_site::CustomerRule;
 
 use crate::limit_settings::LocalLimit;
-use crate::{CustomerUsage, LimitSettings, NodeAllowance};
+use crate::{CustomerUsage, LimitSettings, NodeAllowance, ReportTiming};
 
 /// How a node admits requests of a customer.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -68,7 +68,7 @@
             .into_iter()
             .map(|allowance| (allowance.customer.clone(), allowance))
             .collect();
-        self.reply_valid_until = now + self.settings.reply_validity;
+        self.reply_valid_until = now + ReportTiming::REPLY_LIFETIME;
         self.issuer_has_replied = true;
         self.nodes = nodes.max(1);
         // A new allowance replaces the previous one even if that was not used up. The mode is reset
--- a/crates/admission/src/limit_issuer.rs
+++ b/crates/admission/src/limit_issuer.rs
@@ -5,11 +5,7 @@
 use wagtailmoor_core::{CustomerId, Instant, NodeId, PartsPerMillion, SortedVec};
 use wagtailmoor_site::CustomerRule;
 
-use crate::{CustomerUsage, LimitSettings, NodeAllowance};
-
-/// A node without a report for this long is assumed to admit only the equal share to which it falls
-/// back.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(1_200);
+use crate::{CustomerUsage, LimitSettings, NodeAllowance, ReportTiming};
 
 /// A node without a report for this long no longer counts as a node of the site and is not listed
 /// to the other nodes.
@@ -36,6 +32,31 @@
     charged: bool,
     /// Average requests per second by customer.
     demand: SortedVec<CustomerId, f64>,
+    /// Whether the demand is included in the total demand.
+    counted: bool,
+}
+
+impl Reporter {
+    /// Adds the demand to the total. The total is kept up to date with each report, since a sum
+    /// over all nodes for each of them takes time that grows with the square of their number.
+    fn count(&mut self, total_demand: &mut SortedVec<CustomerId, f64>) {
+        for (customer, rate) in self.demand.iter() {
+            *total_demand.get_or_insert_with(customer.clone(), || 0.0) += rate;
+        }
+        self.counted = true;
+    }
+
+    /// Removes the demand from the total if it is included there.
+    fn uncount(&mut self, total_demand: &mut SortedVec<CustomerId, f64>) {
+        if !std::mem::take(&mut self.counted) {
+            return;
+        }
+        for (customer, rate) in self.demand.iter() {
+            if let Some(total) = total_demand.get_mut(customer) {
+                *total = (*total - rate).max(0.0);
+            }
+        }
+    }
 }
 
 /// A token bucket over all nodes: the requests that a customer may send at once, refilled at its
@@ -57,6 +78,8 @@
     settings: LimitSettings,
     reporters: SortedVec<NodeId, Reporter>,
     accounts: SortedVec<CustomerId, Account>,
+    /// Sum of the demand over all nodes whose report is not overdue.
+    total_demand: SortedVec<CustomerId, f64>,
     term_start: Instant,
     /// Number of nodes that the previous issuer knew.
     nodes_before: u32,
@@ -69,6 +92,7 @@
             settings,
             reporters: SortedVec::new(),
             accounts: SortedVec::new(),
+            total_demand: SortedVec::new(),
             term_start: Instant::default(),
             nodes_before: 0,
         }
@@ -79,6 +103,7 @@
     pub fn start_term(&mut self, now: Instant, nodes_before: u32) {
         self.reporters.clear();
         self.accounts.clear();
+        self.total_demand.clear();
         self.term_start = now;
         self.nodes_before = nodes_before;
     }
@@ -97,8 +122,14 @@
 
     /// Records the requests that a node received and admitted since its last report.
     pub fn record_usage(&mut self, now: Instant, node: &NodeId, used: &[CustomerUsage]) {
-        let new_entry = || Reporter { last_report: now, charged: false, demand: SortedVec::new() };
+        let new_entry = || Reporter {
+            last_report: now,
+            charged: false,
+            demand: SortedVec::new(),
+            counted: false,
+        };
         let reporter = self.reporters.get_or_insert_with(node.clone(), new_entry);
+        reporter.uncount(&mut self.total_demand);
         let elapsed_s = now.saturating_since(reporter.last_report).as_secs_f64();
         let time_constant_s = DEMAND_TIME_CONSTANT.as_secs_f64();
         let factor = (-elapsed_s / time_constant_s).exp();
@@ -115,6 +146,7 @@
                 account.level -= f64::from(*admitted);
             }
         }
+        reporter.count(&mut self.total_demand);
         self.reporters
             .retain(|_, reporter| now.saturating_since(reporter.last_report) < REPORTER_RETENTION);
     }
@@ -144,8 +176,13 @@
     /// Marks the nodes whose report became overdue as charged, and returns their number.
     fn mark_newly_overdue(&mut self, now: Instant) -> usize {
         let overdue = self.reporters.values_mut().filter(|reporter| !is_reporting(reporter, now));
-        let uncharged = overdue.filter(|reporter| !reporter.charged);
-        uncharged.map(|reporter| reporter.charged = true).count()
+        let mut count = 0;
+        for reporter in overdue.filter(|reporter| !reporter.charged) {
+            reporter.charged = true;
+            reporter.uncount(&mut self.total_demand);
+            count += 1;
+        }
+        count
     }
 
     /// Returns the allowances of a node for all customers near their limits.
@@ -175,12 +212,11 @@
 
     fn share(&self, now: Instant, node: &NodeId, customer: &CustomerId) -> PartsPerMillion {
         let live = self.reporters.values().filter(|reporter| is_reporting(reporter, now));
-        let live: Vec<&Reporter> = live.collect();
-        let live_count = live.len().max(1) as f64;
-        let demand =
-            |reporter: &Reporter| reporter.demand.get(customer).copied().unwrap_or_default();
-        let total: f64 = live.into_iter().map(demand).sum();
-        let own = self.reporters.get(node).map_or(0.0, demand);
+        let live_count = live.count().max(1) as f64;
+        let total = self.total_demand.get(customer).copied().unwrap_or_default();
+        let reporter = self.reporters.get(node);
+        let own = reporter.and_then(|reporter| reporter.demand.get(customer)).copied();
+        let own = own.unwrap_or_default().min(total);
         let equal_part = f64::from(EQUAL_PART_PERCENT) / 100.0;
         let demand_share = match total > 0.0 {
             true => own / total,
@@ -195,7 +231,7 @@
 }
 
 fn is_reporting(reporter: &Reporter, now: Instant) -> bool {
-    now.saturating_since(reporter.last_report) < REPORT_TIMEOUT
+    now.saturating_since(reporter.last_report) < ReportTiming::REPORT_LIFETIME
 }
 
 fn is_near_limit(level: f64, burst: f64) -> bool {
--- a/crates/admission/src/limit_settings.rs
+++ b/crates/admission/src/limit_settings.rs
@@ -1,9 +1,9 @@
 //! Precision of limits over all nodes.
 
-use std::time::Duration;
-
 use wagtailmoor_site::CustomerRule;
 
+use crate::ReportTiming;
+
 /// Precision of limits over all nodes.
 #[derive(Clone, Copy, Debug)]
 pub struct LimitSettings {
@@ -12,8 +12,6 @@
     pub rate_overage_per_1000: u32,
     /// Number of requests by which a customer's burst may be exceeded over all nodes.
     pub burst_slack: u32,
-    /// Time after which a reply of the issuer expires without a newer one.
-    pub reply_validity: Duration,
     /// Number of nodes assumed before it is known.
     pub nodes_assumed: u32,
 }
@@ -44,7 +42,6 @@
         Self {
             rate_overage_per_1000: 40,
             burst_slack: 10,
-            reply_validity: Duration::from_millis(1_000),
             nodes_assumed: 16,
         }
     }
@@ -79,7 +76,7 @@
         let (independent, disconnected) =
             (self.independent_limit(rule, nodes), self.disconnected_limit(rule, nodes));
         independent.burst
-            + independent.rate_per_s * self.reply_validity.as_secs_f64()
+            + independent.rate_per_s * ReportTiming::REPLY_LIFETIME.as_secs_f64()
             + disconnected.burst
     }
 }
--- a/crates/admission/src/target_speeds.rs
+++ b/crates/admission/src/target_speeds.rs
@@ -39,6 +39,9 @@
 /// Time constant of the average queue length, which changes within a second.
 const QUEUE_TIME_CONSTANT: Duration = Duration::from_millis(700);
 
+/// Interval at which targets without recent responses are dropped.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Observations of a target by one node since its last report.
 #[value]
 pub struct TargetObservations {
@@ -103,6 +106,7 @@
 #[derive(Debug, Default)]
 pub struct TargetSpeeds {
     averages: SortedVec<TargetId, Averages>,
+    pruned_at: Instant,
 }
 
 impl TargetSpeeds {
@@ -119,7 +123,10 @@
             averages.waiting += *waiting as f64;
             averages.failed += f64::from(*failed);
         }
-        self.averages.retain(|_, averages| averages.at(now).responses > 0.05);
+        if now >= self.pruned_at + PRUNE_INTERVAL {
+            self.averages.retain(|_, averages| averages.at(now).responses > 0.05);
+            self.pruned_at = now;
+        }
     }
 
     /// Returns the average service time of a set of targets, or `None` without recent responses.
--- a/crates/admission/tests/limits.rs
+++ b/crates/admission/tests/limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailmoor_admission::{CustomerLimits, LimitIssuer, LimitSettings};
+use wagtailmoor_admission::{CustomerLimits, LimitIssuer, LimitSettings, ReportTiming};
 use wagtailmoor_core::{Instant, NodeId, Requests, RequestsPerSecond};
 use wagtailmoor_site::CustomerRule;
 
@@ -130,6 +130,11 @@
     }
 }
 
+/// Returns the report interval of a site, rounded to whole steps.
+fn report_interval(nodes: usize) -> Duration {
+    STEP * u32::try_from(ReportTiming::interval(nodes).as_millis() / STEP.as_millis()).unwrap()
+}
+
 // Guards against a customer that exceeds its limit by a sudden surge to several times its rate,
 // which each node admits before the issuer has seen the reports of all nodes (run scale-2 of
 // grown/fvmu-macerator).
@@ -164,6 +169,35 @@
     assert_eq!(site.refused, 0);
 }
 
+// Guards against a report interval that grows with the site while the lifetime of a report does not:
+// at 295 nodes every node was overdue a third of the time, accounts were charged for it, and
+// customers within their rate were refused (run quiet-1 of ra-gateway-large).
+#[rstest]
+fn requests_within_the_limit_pass_at_any_number_of_nodes(
+    #[values(12, 83, 295, 800)] nodes: usize,
+) {
+    let mut site = Site::new(nodes, 600, 600, report_interval(nodes));
+    let even = vec![1; nodes];
+    site.send(Duration::from_secs(3), 380.0, &even, &[]);
+    site.refused = 0;
+    site.send(Duration::from_secs(20), 380.0, &even, &[]);
+    assert_eq!(site.refused, 0);
+}
+
+// Guards against a surge that exceeds the limit on a large site.
+#[rstest]
+fn a_surge_stays_within_the_limit_at_any_number_of_nodes(
+    #[values(83, 295, 800)] nodes: usize,
+    #[values(2.0, 8.0)] factor: f64,
+) {
+    let mut site = Site::new(nodes, 600, 600, report_interval(nodes));
+    let even = vec![1; nodes];
+    site.send(Duration::from_secs(10), 380.0, &even, &[]);
+    site.send(Duration::from_secs(12), 380.0 * factor, &even, &[]);
+    let (window_max, allowed) = (site.window_max(), site.allowed());
+    assert!(f64::from(window_max) <= allowed, "{window_max} of {allowed} in a window");
+}
+
 // Guards against nodes that cannot reach the issuer and together admit more than the limit.
 #[test]
 fn nodes_without_an_issuer_stay_within_the_limit() {
--- /dev/null
+++ b/crates/admission/tests/report_timing.rs
@@ -0,0 +1,20 @@
+//! Lifetimes of reports and replies against the interval that they outlive.
+
+use rstest::rstest;
+use wagtailmoor_admission::ReportTiming;
+
+// Guards against a lifetime that one lost report exceeds: at 295 nodes the interval was 1.77 s and
+// the lifetime of a reply 1.0 s.
+#[rstest]
+fn a_reply_outlives_one_lost_report(#[values(1, 12, 83, 295, 800, 10_000)] nodes: usize) {
+    let interval = ReportTiming::interval(nodes);
+    let next_reply_at_most = interval + ReportTiming::CALL_TIMEOUT + interval;
+    assert!(next_reply_at_most < ReportTiming::REPLY_LIFETIME);
+}
+
+// Guards against a leader that counts a node as overdue while the node still uses its allowances.
+#[test]
+fn the_leader_relies_on_a_report_longer_than_the_node_on_the_reply() {
+    assert!(ReportTiming::REPLY_LIFETIME < ReportTiming::LEADER_TIMEOUT);
+    assert!(ReportTiming::LEADER_TIMEOUT < ReportTiming::REPORT_LIFETIME);
+}
--- a/crates/router/src/admitted_shares.rs
+++ b/crates/router/src/admitted_shares.rs
@@ -1,14 +1,10 @@
 //! Load shedding on ranges whose owners are overloaded.
 
-use std::time::Duration;
-
 use rand::{Rng, RngExt};
+use wagtailmoor_admission::ReportTiming;
 use wagtailmoor_core::{BackEndId, Instant, PartsPerMillion, ShardKey, SortedVec};
 use wagtailmoor_ranges::RangeShare;
 
-/// The shares apply for this long after the leader last sent them.
-const SHARES_LIFETIME: Duration = Duration::from_millis(1_200);
-
 /// Admitted shares of ranges that get more requests than their owners can run in time. Only that
 /// share of the requests is sent to the owners. The others are refused at once: in the queue of an
 /// owner they would be late, and delay all requests behind them.
@@ -22,7 +18,7 @@
     /// Replaces the shares by those that the leader sent.
     pub(crate) fn replace(&mut self, now: Instant, shares: Vec<(BackEndId, Vec<RangeShare>)>) {
         self.shares = shares.into_iter().collect();
-        self.valid_until = now + SHARES_LIFETIME;
+        self.valid_until = now + ReportTiming::REPLY_LIFETIME;
     }
 
     /// Decides at random whether a request on a key is withheld from its owner, and returns the
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use rand::RngExt;
 use tokio::time::sleep;
+use wagtailmoor_admission::ReportTiming;
 use wagtailmoor_core::{BackEndId, RowVersion};
 use wagtailmoor_ranges::AssignmentTable;
 use wagtailmoor_site::RegistryChange;
@@ -53,9 +54,6 @@
 /// their relay sends them changes as soon as the store is reachable again.
 const RETRY_PAUSE_OTHERS: Duration = Duration::from_millis(2_500);
 
-/// Nodes do not rely on the leader to relay owners after this long without contact.
-const LEADER_CONTACT_AGE_MAX: Duration = Duration::from_millis(1_000);
-
 /// A node whose last answer for a table is older than the feed wait plus this margin is starting to
 /// follow the table again.
 const RESTART_MARGIN: Duration = Duration::from_millis(1_000);
@@ -131,7 +129,7 @@
     let now = shared.now();
     let state = shared.read();
     let has_leader_contact =
-        now.saturating_since(state.leader_last_contact) < LEADER_CONTACT_AGE_MAX;
+        now.saturating_since(state.leader_last_contact) < ReportTiming::REPLY_LIFETIME;
     let is_relayed = table == RANGES_TABLE && has_leader_contact && !state.leader_view(now).is_self;
     state.follows_store(now) && !is_relayed
 }
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -5,6 +5,7 @@
 
 use rand::RngExt;
 use tokio::time::sleep;
+use wagtailmoor_admission::ReportTiming;
 use wagtailmoor_core::{Instant, RowVersion, WriteId};
 use wagtailmoor_store::{RowWrite, Table, WriteOutcome, write_and_confirm};
 use wagtailmoor_telemetry::Event;
@@ -22,10 +23,7 @@
 /// all claim the lease at the same time.
 const START_JITTER_MAX: Duration = Duration::from_millis(250);
 
-/// Candidates treat the leader as failed after this long without contact.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(1_100);
-
-/// Other nodes treat the leader as failed after this long without contact.
+/// Nodes that are no candidates treat the leader as failed after this long without contact.
 const LEADER_TIMEOUT_NON_CANDIDATE: Duration = Duration::from_secs(5);
 
 /// Nodes that are no candidates wait this long at the first start of a site, so that the candidates
@@ -47,7 +45,10 @@
         let action = {
             let mut state = shared.write();
             let candidate = state.source.is_candidate();
-            let timeout = if candidate { LEADER_TIMEOUT } else { LEADER_TIMEOUT_NON_CANDIDATE };
+            let timeout = match candidate {
+                true => ReportTiming::LEADER_TIMEOUT,
+                false => LEADER_TIMEOUT_NON_CANDIDATE,
+            };
             let in_contact = now.saturating_since(state.leader_last_contact) < timeout;
             let leader_answers = in_contact && !(candidate && state.lease.is_vacant());
             if state.lease.authority(now).is_some() {
--- a/crates/router/src/peer_link.rs
+++ b/crates/router/src/peer_link.rs
@@ -12,6 +12,7 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
+use wagtailmoor_admission::ReportTiming;
 use wagtailmoor_core::SortedVec;
 use wagtailmoor_rpc::context_with_timeout;
 
@@ -22,9 +23,6 @@
 /// Exceeds the size of all rows of a site; a larger frame closes the connection.
 const FRAME_MAX_BYTES: usize = 8 * 1024 * 1024;
 
-/// The next report is due after this time, so a later reply is of no use.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Covers the wait of the called node for changes, and the transfer of many rows.
 const ROWS_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -78,9 +76,9 @@
     pub(crate) async fn report(&self, peer: SocketAddr, report: NodeReport) -> Option<LeaderReply> {
         let call = async {
             let stub = self.stub(peer).await?;
-            stub.report(context_with_timeout(REPORT_TIMEOUT), report).await.ok()?.ok()
+            stub.report(context_with_timeout(ReportTiming::CALL_TIMEOUT), report).await.ok()?.ok()
         };
-        self.drop_on_failure(peer, timeout(REPORT_TIMEOUT, call).await.ok().flatten())
+        self.drop_on_failure(peer, timeout(ReportTiming::CALL_TIMEOUT, call).await.ok().flatten())
     }
 
     /// Asks another node for rows; `None` if it does not answer in time.
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
+use wagtailmoor_admission::ReportTiming;
 use wagtailmoor_core::Instant;
 use wagtailmoor_telemetry::Event;
 
@@ -11,14 +13,11 @@
 use crate::peer_service::{KeyCounts, LeaderReply, NodeReport};
 use crate::row_source;
 use crate::site_decoder::SiteDecoder;
-use crate::state::Shared;
+use crate::state::{RouterState, Shared};
 
-/// Interval of reports to the leader on a small site.
-const REPORT_INTERVAL_MIN: Duration = Duration::from_millis(150);
-
-/// Lower bound of the report interval for each node of the site. On a large site nodes report less
-/// often, so that the number of reports that the leader handles does not grow with the site.
-const REPORT_INTERVAL_PER_NODE: Duration = Duration::from_millis(6);
+/// Lower bound of the random factor of the report interval, so that nodes that start at once do not
+/// all report at the same time.
+const INTERVAL_JITTER_MIN: f64 = 0.8;
 
 /// A node can lead if the store answered it within this time.
 const STORE_CONTACT_AGE_MAX: Duration = Duration::from_millis(600);
@@ -26,12 +25,17 @@
 /// A new leader collects reports for this long before it publishes the list of nodes.
 const NODE_LIST_SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Shortest time between two versions of the list of nodes. Each version is sent to all nodes, so
+/// its bytes grow with the square of their number.
+const NODE_LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Reports to the leader until the process stops. The leader, and a node that knows no leader,
 /// handle their own reports.
 pub(crate) async fn report(shared: Shared, link: PeerLink) {
     loop {
-        let nodes = u32::try_from(shared.read().source.nodes()).unwrap_or(u32::MAX);
-        sleep(REPORT_INTERVAL_MIN.max(REPORT_INTERVAL_PER_NODE * nodes)).await;
+        let interval = ReportTiming::interval(shared.read().source.nodes());
+        let jitter = shared.write().random.random_range(INTERVAL_JITTER_MIN..1.0);
+        sleep(interval.mul_f64(jitter)).await;
         let now = shared.now();
         let leader = {
             let state = shared.read();
@@ -135,15 +139,10 @@
         let rules = || state.config.iter().flat_map(|config| config.customers());
         state.issuer.refill(now, rules());
         state.issuer.record_usage(now, &node, &report.used);
-        let count_before = state.reporters.len();
         let previous = state.reporters.insert(node.clone(), report.from.clone());
-        let issuer = &state.issuer;
-        state.reporters.retain(|reporter, _| issuer.is_live(now, reporter));
-        if previous.is_none_or(|previous| previous != report.from)
-            || state.reporters.len() < count_before
-        {
-            state.reporters_version += 1;
-        }
+        state.reporters_changed |= previous.is_none_or(|previous| previous != report.from);
+        update_node_list(state, now);
+        let rules = || state.config.iter().flat_map(|config| config.customers());
         reply.shares =
             state.shares.iter().map(|(id, shares)| (id.clone(), shares.clone())).collect();
         reply.allowances = state.issuer.allowances(now, &node, rules());
@@ -158,6 +157,22 @@
     reply
 }
 
+/// Removes nodes that no longer report, and raises the version of the list of nodes if it changed.
+fn update_node_list(state: &mut RouterState, now: Instant) {
+    if now < state.reporters_checked_at + NODE_LIST_INTERVAL {
+        return;
+    }
+    state.reporters_checked_at = now;
+    let RouterState { reporters, issuer, .. } = state;
+    let count_before = reporters.len();
+    reporters.retain(|reporter, _| issuer.is_live(now, reporter));
+    let removed = reporters.len() < count_before;
+    if removed || std::mem::take(&mut state.reporters_changed) {
+        state.reporters_changed = false;
+        state.reporters_version += 1;
+    }
+}
+
 /// Answers the calls of other nodes until the process stops.
 pub(crate) async fn answer<S: SiteDecoder>(
     shared: Shared,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -82,9 +82,13 @@
     pub(crate) issuer: LimitIssuer,
     /// Nodes that reported to this process as the leader.
     pub(crate) reporters: SortedVec<NodeId, NodeAddress>,
-    /// Raised with each change of the reporters. Starts at a random value, so that lists of
-    /// different leaders have different versions.
+    /// Whether the reporters changed since their version was last raised.
+    pub(crate) reporters_changed: bool,
+    /// Raised after changes of the reporters. Starts at a random value, so that lists of different
+    /// leaders have different versions.
     pub(crate) reporters_version: u64,
+    /// When the reporters were last checked for changes.
+    pub(crate) reporters_checked_at: Instant,
     /// Detects target processes that have exited; used only while this process leads.
     pub(crate) exit_detector: ExitDetector,
     /// When the leader last answered a report of this node.
@@ -162,7 +166,9 @@
             leading_since: now,
             issuer: LimitIssuer::new(limits),
             reporters: SortedVec::new(),
+            reporters_changed: false,
             reporters_version: seed << 16,
+            reporters_checked_at: Instant::default(),
             exit_detector: ExitDetector::default(),
             leader_last_contact: Instant::default(),
             store_last_contact: Instant::default(),
