Spread keys that exceed the fair load of a target

Cause: the balancer moved only parts that fit on the least utilised member within 1.4 times its fair load. With many targets the fair load is small, so a single hot key exceeds it and stayed where it was, and the first member without a part to move ended the planning for all others. With 60 hot keys at 214 targets 526 of 620 requests a second exceeded the capacity of their owners after 1.5 s; with another key that no target can run, 309 to 403.

Change: a member's heaviest keys move by themselves if the receiver then uses at most 0.8 times as much of its capacity. A member from which nothing can be moved is passed over. A key counts with at most the capacity of its owner, so that it does not raise the fair load of the others.

--- a/crates/ranges/src/balancer.rs
+++ b/crates/ranges/src/balancer.rs
@@ -1,5 +1,7 @@
 //! Selects the ranges to move so that load is balanced across targets.
 
+use std::cmp::Ordering;
+
 use wagtailmoor_core::ShardKey;
 
 use crate::{KeyLoad, KeyRange, Member, TargetProcess};
@@ -20,6 +22,14 @@
 /// single keys of a hot range would not fit on members whose load is close to the mean.
 const FILL_RATIO_MAX: f64 = 1.4;
 
+/// Number of a member's heaviest keys for which another member is searched.
+const HOT_KEYS_CHECKED_MAX: usize = 8;
+
+/// Maximum ratio of the receiving member's use of its capacity after the move of a single key to
+/// the sending member's use before it. A smaller gain does not justify that requests wait for the
+/// move.
+const KEY_MOVE_USE_RATIO_MAX: f64 = 0.8;
+
 /// A planned change of the owner of a range.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Move {
@@ -43,15 +53,38 @@
 struct MemberLoad {
     member: Member,
     ranges: Vec<KeyRange>,
+    /// Requests per second. A key counts with at most the member's capacity: the rest cannot be run
+    /// by any member and must not raise the fair load of the others.
     load_per_s: f64,
     /// Load that the member should have, in requests per second.
     fair_per_s: f64,
+    /// Whether no part of the member's ranges can be moved with a gain. This remains so while moves
+    /// are planned, since members that are not too busy only receive keys.
+    exhausted: bool,
 }
 
 impl MemberLoad {
     fn utilisation(&self) -> f64 {
         self.load_per_s / self.fair_per_s
     }
+
+    /// Returns the used part of the member's capacity with `added_per_s` more requests per second.
+    fn capacity_use(&self, added_per_s: f64) -> f64 {
+        (self.load_per_s + added_per_s) / self.member.capacity_per_s
+    }
+
+    /// Returns the part of a key's load that the member can run.
+    fn runnable(&self, load_per_s: f64) -> f64 {
+        load_per_s.min(self.member.capacity_per_s)
+    }
+}
+
+/// Part of a member's ranges that is to be moved, with its load and the index of the receiver.
+#[derive(Debug)]
+struct PlannedPart {
+    range: KeyRange,
+    load_per_s: f64,
+    destination: usize,
 }
 
 impl<'a> Balancer<'a> {
@@ -60,12 +93,20 @@
         let mut members: Vec<MemberLoad> = member_ranges
             .into_iter()
             .map(|(member, ranges)| {
-                let load_per_s = ranges.iter().map(|range| load.rate_per_s(*range)).sum();
-                MemberLoad { fair_per_s: member.capacity_per_s, member, ranges, load_per_s }
+                let load_per_s =
+                    ranges.iter().map(|range| runnable_per_s(load, &member, *range)).sum();
+                let fair_per_s = member.capacity_per_s;
+                MemberLoad { fair_per_s, member, ranges, load_per_s, exhausted: false }
             })
             .collect();
         set_fair_loads(&mut members);
-        Self { load, members }
+        let mut balancer = Self { load, members };
+        let exhausted: Vec<bool> =
+            balancer.members.iter().map(|entry| balancer.excess_per_s(entry).is_none()).collect();
+        for (entry, exhausted) in balancer.members.iter_mut().zip(exhausted) {
+            entry.exhausted = exhausted;
+        }
+        balancer
     }
 
     /// Plans up to `moves_max` moves towards the fair loads, each from the member that is the
@@ -91,38 +132,83 @@
 
     /// Adds a range to a member, with the load of the range.
     pub fn add(&mut self, process: &TargetProcess, range: KeyRange) {
-        let load_per_s = self.load.rate_per_s(range);
-        if let Some(entry) = self.members.iter_mut().find(|entry| entry.member.process == *process)
-        {
+        let entry = self.members.iter_mut().find(|entry| entry.member.process == *process);
+        if let Some(entry) = entry {
+            let load_per_s = runnable_per_s(self.load, &entry.member, range);
             entry.ranges.push(range);
             entry.load_per_s += load_per_s;
         }
     }
 
     fn next_move(&mut self) -> Option<Move> {
-        let busiest = self.index_by(MemberLoad::utilisation, f64::max)?;
-        let least_busy = self.index_by(MemberLoad::utilisation, f64::min)?;
-        let (source, destination) = (&self.members[busiest], &self.members[least_busy]);
-        let fair_per_s = source.fair_per_s;
-        let excess = source.load_per_s - fair_per_s;
-        if busiest == least_busy || excess < self.excess_min(fair_per_s) {
-            return None;
+        loop {
+            let movable = |entry: &MemberLoad| !entry.exhausted;
+            let busiest = self.best_index(movable, |left, right| {
+                left.utilisation().total_cmp(&right.utilisation())
+            })?;
+            let Some(part) = self.fitting_part(busiest).or_else(|| self.hot_key(busiest)) else {
+                // The load of a single key may exceed every member. The others are still balanced.
+                self.members[busiest].exhausted = true;
+                continue;
+            };
+            let process = |index: usize| self.members[index].member.process.clone();
+            let next =
+                Move { range: part.range, from: process(busiest), to: process(part.destination) };
+            self.apply(busiest, &part);
+            return Some(next);
         }
+    }
+
+    /// Returns the load of a member above its fair load, or `None` if that justifies no move.
+    fn excess_per_s(&self, source: &MemberLoad) -> Option<f64> {
+        let excess = source.load_per_s - source.fair_per_s;
+        (excess >= self.excess_min(source.fair_per_s)).then_some(excess)
+    }
+
+    /// Returns the part of a member's ranges that brings its load nearest to the fair load while it
+    /// fits on the least utilised member.
+    fn fitting_part(&self, source_index: usize) -> Option<PlannedPart> {
+        let source = &self.members[source_index];
+        let excess = self.excess_per_s(source)?;
+        let least_utilised = self.best_index(
+            |_| true,
+            |left, right| right.utilisation().total_cmp(&left.utilisation()),
+        )?;
+        let destination = &self.members[least_utilised];
         let headroom_per_s = FILL_RATIO_MAX * destination.fair_per_s - destination.load_per_s;
         let amount = excess.min(headroom_per_s);
-        let range = source.ranges.iter().filter_map(|range| self.heaviest_part(*range, amount));
-        let (range, load_per_s) = range.max_by(|left, right| left.1.total_cmp(&right.1))?;
+        let parts = source.ranges.iter().filter_map(|range| self.heaviest_part(*range, amount));
+        let (range, load_per_s) = parts.max_by(|left, right| left.1.total_cmp(&right.1))?;
         // The receiving member must end up less utilised than the sending one was before the move.
-        if (destination.load_per_s + load_per_s) / destination.fair_per_s >= source.utilisation() {
-            return None;
-        }
-        let next = Move {
-            range,
-            from: source.member.process.clone(),
-            to: destination.member.process.clone(),
-        };
-        self.apply(busiest, least_busy, range, load_per_s);
-        Some(next)
+        let improves = (destination.load_per_s + load_per_s) / destination.fair_per_s
+            < source.utilisation();
+        let part = PlannedPart { range, load_per_s, destination: least_utilised };
+        (improves && source_index != least_utilised).then_some(part)
+    }
+
+    /// Returns the heaviest key of a member that another member can run with a lower use of its
+    /// capacity. On a large site the fair load of a member is small, and a single hot key exceeds
+    /// it.
+    fn hot_key(&self, source_index: usize) -> Option<PlannedPart> {
+        let source = &self.members[source_index];
+        self.excess_per_s(source)?;
+        let keys = source.ranges.iter().flat_map(|range| self.load.in_range(*range));
+        let mut keys: Vec<(ShardKey, f64)> = keys.collect();
+        keys.sort_by(|left, right| right.1.total_cmp(&left.1));
+        keys.into_iter().take(HOT_KEYS_CHECKED_MAX).find_map(|(key, load_per_s)| {
+            let destination = self.best_index(
+                |_| true,
+                |left, right| {
+                    right.capacity_use(load_per_s).total_cmp(&left.capacity_use(load_per_s))
+                },
+            )?;
+            let not_runnable_per_s = load_per_s - source.runnable(load_per_s);
+            let use_max = KEY_MOVE_USE_RATIO_MAX * source.capacity_use(not_runnable_per_s);
+            let fits = self.members[destination].capacity_use(load_per_s) < use_max;
+            let range = KeyRange::new(key, key)?;
+            let part = PlannedPart { range, load_per_s, destination };
+            (fits && destination != source_index).then_some(part)
+        })
     }
 
     fn excess_min(&self, fair_per_s: f64) -> f64 {
@@ -153,7 +239,8 @@
         best
     }
 
-    fn apply(&mut self, busiest: usize, least_busy: usize, moved: KeyRange, load_per_s: f64) {
+    fn apply(&mut self, busiest: usize, part: &PlannedPart) {
+        let (moved, load_per_s) = (part.range, part.load_per_s);
         let ranges = std::mem::take(&mut self.members[busiest].ranges);
         self.members[busiest].ranges = ranges
             .into_iter()
@@ -163,22 +250,29 @@
             })
             .flatten()
             .collect();
-        self.members[busiest].load_per_s -= load_per_s;
-        self.members[least_busy].ranges.push(moved);
-        self.members[least_busy].load_per_s += load_per_s;
+        let source = &mut self.members[busiest];
+        source.load_per_s -= source.runnable(load_per_s);
+        let destination = &mut self.members[part.destination];
+        destination.ranges.push(moved);
+        destination.load_per_s += destination.runnable(load_per_s);
     }
 
-    fn index_by(
+    /// Returns the index of the greatest of the members that a filter accepts.
+    fn best_index(
         &self,
-        value: impl Fn(&MemberLoad) -> f64,
-        better: impl Fn(f64, f64) -> f64,
+        accepts: impl Fn(&MemberLoad) -> bool,
+        compare: impl Fn(&MemberLoad, &MemberLoad) -> Ordering,
     ) -> Option<usize> {
-        let values: Vec<f64> = self.members.iter().map(value).collect();
-        let best = values.iter().copied().reduce(better)?;
-        values.iter().position(|value| *value == best)
+        let accepted = self.members.iter().enumerate().filter(|(_, entry)| accepts(entry));
+        accepted.max_by(|left, right| compare(left.1, right.1)).map(|(index, _)| index)
     }
 }
 
+/// Returns the requests per second on a range that a member can run.
+fn runnable_per_s(load: &KeyLoad, member: &Member, range: KeyRange) -> f64 {
+    load.in_range(range).map(|(_, rate_per_s)| rate_per_s.min(member.capacity_per_s)).sum()
+}
+
 /// Computes the fair load of each member so that the mean response time is lowest: the free
 /// capacity is divided in proportion to the square roots of the members' capacities, which leaves
 /// slow members less utilised than fast ones. Without free capacity, the load is divided in
--- a/crates/ranges/tests/hot_range.rs
+++ b/crates/ranges/tests/hot_range.rs
@@ -1,8 +1,9 @@
-//! Balancing on a large site: with even load, with targets of different speeds, and with two fifths
-//! of the load on 200 adjacent keys.
+//! Balancing on a large site: with even load, with targets of different speeds, with two fifths of
+//! the load on 200 or on 60 adjacent keys, and with a key that no target can run.
 
 use std::time::Duration;
 
+use rstest::rstest;
 use wagtailmoor_core::{Incarnation, Instant, ShardKey, SortedVec};
 use wagtailmoor_ranges::{
     AssignerSettings, AssignmentTable, Authority, Command, GrantOutcome, KeyRange, Member,
@@ -20,9 +21,12 @@
 /// Requests per second on the hot keys.
 const HOT_PER_S: usize = 620;
 
-/// The hot keys, each with about three requests per second.
+/// First of the hot keys, which are adjacent.
 const HOT_FIRST: u16 = 30_000;
-const HOT_KEYS: u16 = 200;
+
+/// A key that gets more requests per second than a target can run.
+const EXCESSIVE_KEY: u16 = 10_000;
+const EXCESSIVE_PER_S: usize = 200;
 
 const TICK: Duration = Duration::from_millis(10);
 
@@ -43,6 +47,10 @@
     assigner: RangeAssigner,
     in_flight: Vec<(Instant, Command)>,
     requests: usize,
+    /// Number of hot keys among which the load on hot keys is divided.
+    hot_keys: u16,
+    /// Whether one key gets more requests than a target can run.
+    excessive_key: bool,
 }
 
 impl Site {
@@ -68,7 +76,8 @@
             leaving: false,
         });
         assigner.set_members(now, members.collect());
-        Self { now, assigner, in_flight: Vec::new(), requests: 0 }
+        let in_flight = Vec::new();
+        Self { now, assigner, in_flight, requests: 0, hot_keys: 200, excessive_key: false }
     }
 
     /// Reports the load of one interval.
@@ -81,10 +90,14 @@
             self.assigner.add_load(ShardKey::new(u16::try_from(key).unwrap()), 1);
         }
         for number in 0..per_report(HOT_PER_S) * usize::from(hot) {
-            let offset = (self.requests + number) % usize::from(HOT_KEYS);
+            let offset = (self.requests + number) % usize::from(self.hot_keys);
             let key = HOT_FIRST + u16::try_from(offset).unwrap();
             self.assigner.add_load(ShardKey::new(key), 1);
         }
+        if self.excessive_key {
+            let requests = u32::try_from(per_report(EXCESSIVE_PER_S)).unwrap();
+            self.assigner.add_load(ShardKey::new(EXCESSIVE_KEY), requests);
+        }
     }
 
     fn run(&mut self, span: Duration, hot: bool) {
@@ -137,10 +150,10 @@
     /// Returns the load above the capacity of the owners of hot keys, in requests per second.
     fn hot_excess_per_s(&self) -> f64 {
         let table = self.assigner.table();
-        let hot_per_key = HOT_PER_S as f64 / f64::from(HOT_KEYS);
+        let hot_per_key = HOT_PER_S as f64 / f64::from(self.hot_keys);
         let background_per_target = BACKGROUND_PER_S as f64 / TARGETS as f64;
         let mut loads: SortedVec<TargetProcess, f64> = SortedVec::new();
-        for key in HOT_FIRST..HOT_FIRST + HOT_KEYS {
+        for key in HOT_FIRST..HOT_FIRST + self.hot_keys {
             let assignment =
                 table.assignment_of(ShardKey::new(key)).expect("every key has an owner");
             *loads.get_or_insert_with(assignment.owner.clone(), || background_per_target) +=
@@ -162,6 +175,32 @@
     assert!(excess < HOT_PER_S as f64 / 10.0, "{excess} of {HOT_PER_S} requests a second");
 }
 
+// Guards against hot keys that stay together because each of them exceeds the fair load of a target:
+// with 60 keys at 337 targets their owners refused most requests for as long as the range was hot
+// (run quiet-1 of ra-gateway-large).
+#[test]
+fn keys_above_the_fair_load_are_spread() {
+    let mut site = Site::new(|_| 1.0);
+    site.hot_keys = 60;
+    site.run(Duration::from_secs(8), false);
+    site.run(SPREAD_DEADLINE, true);
+    let excess = site.hot_excess_per_s();
+    assert!(excess < HOT_PER_S as f64 / 10.0, "{excess} of {HOT_PER_S} requests a second");
+}
+
+// Guards against a balancer that stops at a key that no target can run, while a hot range elsewhere
+// stays with its owners.
+#[rstest]
+fn a_key_above_every_capacity_does_not_stop_the_spreading(#[values(60, 200)] hot_keys: u16) {
+    let mut site = Site::new(|_| 1.0);
+    site.hot_keys = hot_keys;
+    site.excessive_key = true;
+    site.run(Duration::from_secs(8), false);
+    site.run(SPREAD_DEADLINE, true);
+    let excess = site.hot_excess_per_s();
+    assert!(excess < HOT_PER_S as f64 / 10.0, "{excess} of {HOT_PER_S} requests a second");
+}
+
 // Guards against keys that are moved although the load is even.
 #[test]
 fn an_even_load_moves_few_keys() {
