Answer or refuse late requests of a node that is shutting down

Cause: a stopping node accepts requests for 2.3 s, since the platform still sends some. A request with a long time limit was passed on and cut off without a response when the process ended, also one that must not be repeated. The leader first waited for the store to confirm its resignation and only then began to count these 2.3 s, so that a silent store extended them.

Change: the deadline of a request on a stopping node is at most 0.2 s before the front end stops. A request that must not be repeated and may run longer is refused as not run. The resignation runs beside the drain.

--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -29,6 +29,10 @@
 /// A node without a configuration most likely has one after this time.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// A client that was refused because this node is shutting down can use another node after this
+/// time.
+const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Lower bound of the retry delay sent to a customer that exceeds its limit.
 const RATE_RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 
@@ -125,11 +129,12 @@
         let keyed = config.back_end(&back_end).is_some_and(|rule| rule.keyed);
         let shard_key = head.shard_key.filter(|_| keyed);
         let timeout = head.deadline.map_or(route.timeout, |wait| wait.min(route.timeout));
+        let deadline = deadline(now, timeout, route.idempotent, state.shutdown_deadline)?;
         Ok(Call {
             id: AttemptId::new(state.random.random()),
             request_id: head.request_id.map(Into::into),
             received_at: now,
-            deadline: now + timeout,
+            deadline,
             customer,
             weight: Weight::new(1),
             template: "route".parse().expect("a literal id is valid"),
@@ -367,6 +372,26 @@
     }
 }
 
+/// Returns the deadline of a request. On a node that is shutting down it is not later than the end
+/// of the grace period, so that the client gets an answer. A request that must not be repeated and
+/// may outlast the grace period is refused, because its outcome would be unknown.
+fn deadline(
+    now: Instant,
+    timeout: Duration,
+    idempotent: bool,
+    shutdown_deadline: Option<Instant>,
+) -> Result<Instant, Refusal> {
+    let deadline = now + timeout;
+    match shutdown_deadline {
+        Some(end) if deadline > end && !idempotent => {
+            let refusal = Refusal::not_run(Reason::NotReady, "the node is shutting down");
+            Err(refusal.with_retry_after(SHUTDOWN_RETRY_AFTER))
+        }
+        Some(end) => Ok(deadline.min(end)),
+        None => Ok(deadline),
+    }
+}
+
 /// Finds the customer of a request by its key; open routes accept requests without one.
 fn find_customer(
     config: &SiteConfig,
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -40,7 +40,7 @@
         sleep(NON_CANDIDATE_START_DELAY).await;
     }
     // A stopping node resigned and must not claim the lease again.
-    while !shared.read().stopping {
+    while !shared.read().is_stopping() {
         let now = shared.now();
         let action = {
             let mut state = shared.write();
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -34,6 +34,9 @@
 /// of the shutdown.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
+/// Requests in progress are answered this long before the front end stops.
+const SHUTDOWN_ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
 /// Largest size of a request's head. The front end starts before the operators' configuration is
 /// known, so this limit does not depend on it.
 const HEAD_MAX_BYTES: usize = 16 * 1024;
@@ -139,15 +142,18 @@
     /// Stops the process. Requests in progress are finished if the grace period allows.
     pub async fn stop(self) {
         Event::new("stop").field("grace_ms", self.shared.settings.grace.as_millis()).info();
-        self.shared.write().stopping = true;
         let grace = self.shared.settings.grace.saturating_sub(GRACE_MARGIN);
-        let stopped = timeout(grace, async {
-            leader_loop::resign(&self.shared, &*self.table).await;
+        let answered_by = self.shared.now() + grace.saturating_sub(SHUTDOWN_ANSWER_MARGIN);
+        self.shared.write().shutdown_deadline = Some(answered_by);
+        let drain = async {
             sleep(DEREGISTRATION_DELAY).await;
             self.stop.send_replace(true);
             // If the front end's task failed, it has no requests left to finish.
             drop(self.front.await);
-        });
+        };
+        // The store may be away. The front end must not accept requests for longer because of that.
+        let resign = leader_loop::resign(&self.shared, &*self.table);
+        let stopped = timeout(grace, async { tokio::join!(resign, drain) });
         let drained = stopped.await.is_ok();
         Event::new("stopped").field("whole", drained).info();
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -103,7 +103,9 @@
     pub(crate) source: ChangeSource,
     /// The table whose feed is retried while the store is unreachable; `None` while it answers.
     pub(crate) store_down: Option<&'static str>,
-    pub(crate) stopping: bool,
+    /// When the requests in progress must be answered because this process ends; `None` unless it is
+    /// shutting down.
+    pub(crate) shutdown_deadline: Option<Instant>,
     pub(crate) random: SmallRng,
     pub(crate) stats: Stats,
 }
@@ -176,7 +178,7 @@
             tables_last_contact: SortedVec::new(),
             source,
             store_down: None,
-            stopping: false,
+            shutdown_deadline: None,
             random: SmallRng::seed_from_u64(seed),
             stats: Stats::default(),
         };
@@ -217,9 +219,14 @@
         self.source.follows_store(now, self.leader_view(now))
     }
 
+    /// Returns whether this process is shutting down.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.shutdown_deadline.is_some()
+    }
+
     /// Returns whether this node accepts clients: it has a configuration and is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.stopping && self.config.is_some()
+        !self.is_stopping() && self.config.is_some()
     }
 
     /// Counts a request on a key. Called only for requests that their customer's limit admits;
