Let requests wait for moving keys, and announce releases

Cause: when a zone was taken out of service, the leader released its keys at once. Other requests waited 300 ms for the next owner, while a move takes 350 to 600 ms, and were refused: 2,100 in four seconds.

Change: the keys of a leaving target are released 200 ms after it was seen leaving, and requests wait up to 800 ms for a key that is moving.

--- a/crates/ranges/src/assigner_settings.rs
+++ b/crates/ranges/src/assigner_settings.rs
@@ -18,6 +18,10 @@
     pub renew_interval: Duration,
     /// Delay before a failed grant or release is retried.
     pub retry_interval: Duration,
+    /// Time between the decision to release the keys of a leaving target and the release. Nodes learn
+    /// meanwhile that the target is leaving and hold requests for the next owner. A request that
+    /// is sent to the target later is refused there and takes a retry.
+    pub release_notice: Duration,
     /// Interval between checks for hot ranges.
     pub balance_interval: Duration,
     /// Interval between checks for lasting imbalance, which use the load of the last seconds.
@@ -46,6 +50,7 @@
             call_timeout: Duration::from_millis(800),
             renew_interval: Duration::from_millis(1_250),
             retry_interval: Duration::from_millis(400),
+            release_notice: Duration::from_millis(200),
             balance_interval: Duration::from_millis(150),
             slow_balance_interval: Duration::from_millis(600),
             initial_quiet_period: Duration::from_millis(600),
--- a/crates/ranges/src/balancer.rs
+++ b/crates/ranges/src/balancer.rs
@@ -180,8 +180,8 @@
         let parts = source.ranges.iter().filter_map(|range| self.heaviest_part(*range, amount));
         let (range, load_per_s) = parts.max_by(|left, right| left.1.total_cmp(&right.1))?;
         // The receiving member must end up less utilised than the sending one was before the move.
-        let improves = (destination.load_per_s + load_per_s) / destination.fair_per_s
-            < source.utilisation();
+        let improves =
+            (destination.load_per_s + load_per_s) / destination.fair_per_s < source.utilisation();
         let part = PlannedPart { range, load_per_s, destination: least_utilised };
         (improves && source_index != least_utilised).then_some(part)
     }
--- a/crates/ranges/src/range_assigner.rs
+++ b/crates/ranges/src/range_assigner.rs
@@ -52,6 +52,8 @@
     ranges: RangeList,
     /// Ranges that the write in flight assigns.
     storing: Option<Vec<(KeyRange, Epoch)>>,
+    /// Leaving members, each with the end of its notice.
+    leaving: Vec<(TargetProcess, Instant)>,
     /// Processes that exited, each with the end of its exclusion.
     recently_exited: Vec<(TargetProcess, Instant)>,
     fast_load: KeyLoad,
@@ -86,6 +88,7 @@
             members: Vec::new(),
             ranges,
             storing: None,
+            leaving: Vec::new(),
             recently_exited: Vec::new(),
             fast_load: KeyLoad::new(now, FAST_TIME_CONSTANT),
             slow_load: KeyLoad::new(now, SLOW_TIME_CONSTANT),
@@ -110,6 +113,19 @@
             self.members_changed_at = now;
         }
         self.members = members;
+        self.update_leaving(now);
+    }
+
+    /// Updates the leaving members. The notice of a member starts when it is first seen leaving.
+    fn update_leaving(&mut self, now: Instant) {
+        let notice_ends = now + self.settings.release_notice;
+        let leaving = self.members.iter().filter(|member| member.leaving);
+        self.leaving = leaving
+            .map(|member| {
+                let known = self.leaving.iter().find(|(process, _)| *process == member.process);
+                (member.process.clone(), known.map_or(notice_ends, |(_, ends)| *ends))
+            })
+            .collect();
     }
 
     /// Adds requests that arrived for a key since the last call.
@@ -342,13 +358,11 @@
         if !self.members.iter().any(|member| self.is_eligible(member)) {
             return;
         }
-        let leaving = self.members.iter().filter(|member| member.leaving);
-        let leaving: Vec<TargetProcess> = leaving.map(|member| member.process.clone()).collect();
+        let due = self.leaving.iter().filter(|(_, notice_ends)| now >= *notice_ends);
+        let due: Vec<TargetProcess> = due.map(|(process, _)| process.clone()).collect();
         for index in 0..self.ranges.len() {
-            let from = leaving
-                .iter()
-                .find(|process| self.ranges.get(index).is_granted_to(process))
-                .cloned();
+            let from =
+                due.iter().find(|process| self.ranges.get(index).is_granted_to(process)).cloned();
             if let Some(from) = from {
                 let release = Release::new(now, from, self.ranges.allocate_epoch(), None);
                 self.ranges.set_state(index, RangeState::Releasing(release));
--- a/crates/router/src/target_choice.rs
+++ b/crates/router/src/target_choice.rs
@@ -11,10 +11,15 @@
 use crate::log_lines;
 use crate::state::{RouterState, Shared};
 
-/// A request waits at most this long for a key that has no owner or is moving. A move takes as long
-/// as the requests that run on its keys.
+/// A request waits at most this long for a key that has no owner. The keys of a lost target have
+/// none for seconds, but the first grant and a restart take less.
 const OWNER_WAIT_MAX: Duration = Duration::from_millis(300);
 
+/// A request waits at most this long for a key that is moving: until the requests that run on its
+/// keys have ended, the next owner is stored, and this node knows of it. A client that is refused
+/// returns no earlier.
+const MOVE_WAIT_MAX: Duration = Duration::from_millis(800);
+
 /// Latency assumed for a target without measurements.
 pub(crate) const DEFAULT_LATENCY: Duration = Duration::from_millis(150);
 
@@ -33,7 +38,7 @@
     key: ShardKey,
     tried: &[TargetId],
 ) -> Result<(Target, Picked), Reason> {
-    let wait_until = (shared.now() + OWNER_WAIT_MAX).min(call.deadline);
+    let started = shared.now();
     loop {
         let changed = shared.routes_changed.notified();
         let reason = match look_up_owner(shared, call, key, tried) {
@@ -41,7 +46,11 @@
             OwnerLookup::Refuse(reason) => return Err(reason),
             OwnerLookup::Wait(reason) => reason,
         };
-        let left = wait_until.saturating_since(shared.now());
+        let wait_max = match reason {
+            Reason::OwnerMoving => MOVE_WAIT_MAX,
+            _ => OWNER_WAIT_MAX,
+        };
+        let left = (started + wait_max).min(call.deadline).saturating_since(shared.now());
         if left.is_zero() || timeout(left, changed).await.is_err() {
             return Err(reason);
         }
