Keep relays on the store while it rejects the leader; follow seeds at restart

Cause: a leader that the store rejects gets its data from a relay and was taken as a source of designated origin. After a restart of all processes each node followed the store for three seconds, as if others relied on it: 2,100 calls. At the first start 241 nodes read the leader's row, 1.2 s after the start, shortly before they got it from others.

Change: a leader relays only what it read itself. A node that no other node knows of, as there is no list of nodes, waits at the seeds and does not go on following the store. Nodes that are no candidates wait 2.5 s at the first start before they read the leader's row.

--- a/crates/router/src/change_source.rs
+++ b/crates/router/src/change_source.rs
@@ -147,11 +147,13 @@
     }
 
     /// Returns whether this node can relay the store's changes. A node whose own source fails
-    /// reports this at once, before its data are old.
-    pub fn can_relay(&self, now: Instant) -> bool {
+    /// reports this at once, before its data are old. A leader relays only what it read itself:
+    /// other data come from a relay that follows the store in its place, and the relays would wait
+    /// for each other.
+    pub fn can_relay(&self, now: Instant, leader: LeaderView) -> bool {
         let source_works = match self.synced_to == self.store_synced_to {
             true => self.store_answers,
-            false => self.peer_failures < PEER_FAILURES_MAX,
+            false => !leader.is_self && self.peer_failures < PEER_FAILURES_MAX,
         };
         self.is_fresh(now) && source_works
     }
@@ -177,7 +179,14 @@
     /// without the leader and the relays, two nodes that wait for each other would both stop.
     fn keeps_following(&self, now: Instant) -> bool {
         let store_is_current = self.store_answers && now < self.store_synced_to + FRESH_AGE_MAX;
-        store_is_current && now > self.designated_synced_to + FRESH_AGE_MAX
+        let others_rely = now > self.designated_synced_to + FRESH_AGE_MAX;
+        store_is_current && others_rely && self.is_known_to_others()
+    }
+
+    /// Returns whether other nodes may call this node. After all processes have restarted, there is
+    /// no list of nodes until a leader is elected. Others call only the seeds then.
+    fn is_known_to_others(&self) -> bool {
+        !self.nodes.is_empty() || self.is_relay()
     }
 
     /// Returns whether this node's data are of designated origin: whether the leader, or a relay in
@@ -212,7 +221,7 @@
         let provider = self.provider.filter(|provider| !self.is_avoided(now, *provider));
         match (designated, provider) {
             (Some(designated), _) => vec![designated],
-            (None, _) if uses_store => Vec::new(),
+            (None, _) if uses_store && self.is_known_to_others() => Vec::new(),
             (None, Some(provider)) => vec![provider],
             (None, None) => self.alternative_peers(now, pending, random),
         }
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -184,9 +184,10 @@
     let now = shared.now();
     let mut state = shared.write();
     state.stats.count("store-call-failed");
-    let could_relay = state.source.can_relay(now);
+    let leader = state.leader_view(now);
+    let could_relay = state.source.can_relay(now, leader);
     state.source.record_store_failure();
-    if could_relay && !state.source.can_relay(now) {
+    if could_relay && !state.source.can_relay(now, leader) {
         // Wakes the pending calls of other nodes, so that these switch to another source at once.
         shared.routes_changed.notify_waiters();
     }
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -28,7 +28,7 @@
 
 /// Nodes that are no candidates wait this long at the first start of a site, so that the candidates
 /// claim the lease first.
-const NON_CANDIDATE_START_DELAY: Duration = Duration::from_millis(1_200);
+const NON_CANDIDATE_START_DELAY: Duration = Duration::from_millis(2_500);
 
 /// Keeps the leader lease of this process up to date until the process stops.
 pub(crate) async fn run<T: Table>(shared: Shared, table: Rc<T>) {
--- a/crates/router/src/row_source.rs
+++ b/crates/router/src/row_source.rs
@@ -215,7 +215,7 @@
         targets: state.rows.page(S::TARGET_TABLE, known.targets),
         ranges: state.rows.page(RANGES_TABLE, known.ranges),
         leader: state.observed_leader(),
-        can_relay: state.config.is_some() && state.source.can_relay(now),
+        can_relay: state.config.is_some() && state.source.can_relay(now, state.leader_view(now)),
         store_age: state.source.age(now),
         designated_origin: state.source.has_designated_origin(state.leader_view(now)),
         waited: Duration::ZERO,
--- a/crates/router/tests/store_rejections.rs
+++ b/crates/router/tests/store_rejections.rs
@@ -105,6 +105,10 @@
         LeaderView { is_self: number == self.leader, address: Some(address(self.leader)) }
     }
 
+    fn can_relay(&self, number: usize) -> bool {
+        self.nodes[number].source.can_relay(self.now, self.leader_view(number))
+    }
+
     /// Delivers changes to a node from the store and from the nodes that it calls.
     fn step(&mut self, number: usize) {
         let (now, leader) = (self.now, self.leader_view(number));
@@ -132,10 +136,10 @@
         let (now, peer) = (self.now, call.peer);
         let called = &self.nodes[peer];
         let unresponsive = Some(peer) == self.unresponsive;
-        if !unresponsive && called.source.can_relay(now) {
+        if !unresponsive && self.can_relay(peer) {
             self.nodes[number].synced_to = self.nodes[number].synced_to.max(called.synced_to);
         }
-        if !unresponsive && !self.nodes[peer].source.can_relay(now) {
+        if !unresponsive && !self.can_relay(peer) {
             // A node that can no longer relay changes answers at once.
             return self.end_call(number, call);
         }
@@ -162,7 +166,7 @@
             let peer = usize::from(peer.port()) - 1;
             let wait = match () {
                 () if Some(peer) == self.unresponsive => CALL_TIMEOUT,
-                () if self.nodes[peer].source.can_relay(now) => WAIT,
+                () if self.can_relay(peer) => WAIT,
                 () => STEP,
             };
             let call = Call { peer, since: now, until: now + wait, timed_out: false };
@@ -176,7 +180,8 @@
         let called = &self.nodes[call.peer].source;
         let unresponsive = Some(call.peer) == self.unresponsive;
         let designated_origin = called.has_designated_origin(self.leader_view(call.peer));
-        let (can_relay, age, peer) = (called.can_relay(now), called.age(now), address(call.peer));
+        let (can_relay, age) = (self.can_relay(call.peer), called.age(now));
+        let peer = address(call.peer);
         let own = &mut self.nodes[number];
         match () {
             () if unresponsive && call.timed_out => {}
