Simplify the bookkeeping of overdue reports; correct comments

A reporter whose demand counts in the total is one that is not overdue, so one flag is enough; the list of nodes is checked once in a reply.

--- a/crates/admission/src/limit_issuer.rs
+++ b/crates/admission/src/limit_issuer.rs
@@ -27,30 +27,24 @@
 #[derive(Debug)]
 struct Reporter {
     last_report: Instant,
-    /// Whether the accounts were charged for requests that the node may have admitted since its
-    /// last report.
-    charged: bool,
+    /// Whether the report was found to be overdue. The accounts were charged then for requests that
+    /// the node may have admitted since its last report, and its demand was taken off the total.
+    overdue: bool,
     /// Average requests per second by customer.
     demand: SortedVec<CustomerId, f64>,
-    /// Whether the demand is included in the total demand.
-    counted: bool,
 }
 
 impl Reporter {
     /// Adds the demand to the total. The total is kept up to date with each report, since a sum
     /// over all nodes for each of them takes time that grows with the square of their number.
-    fn count(&mut self, total_demand: &mut SortedVec<CustomerId, f64>) {
+    fn add_demand(&self, total_demand: &mut SortedVec<CustomerId, f64>) {
         for (customer, rate) in self.demand.iter() {
             *total_demand.get_or_insert_with(customer.clone(), || 0.0) += rate;
         }
-        self.counted = true;
     }
 
-    /// Removes the demand from the total if it is included there.
-    fn uncount(&mut self, total_demand: &mut SortedVec<CustomerId, f64>) {
-        if !std::mem::take(&mut self.counted) {
-            return;
-        }
+    /// Takes the demand off the total.
+    fn subtract_demand(&self, total_demand: &mut SortedVec<CustomerId, f64>) {
         for (customer, rate) in self.demand.iter() {
             if let Some(total) = total_demand.get_mut(customer) {
                 *total = (*total - rate).max(0.0);
@@ -122,19 +116,16 @@
 
     /// Records the requests that a node received and admitted since its last report.
     pub fn record_usage(&mut self, now: Instant, node: &NodeId, used: &[CustomerUsage]) {
-        let new_entry = || Reporter {
-            last_report: now,
-            charged: false,
-            demand: SortedVec::new(),
-            counted: false,
-        };
+        let new_entry = || Reporter { last_report: now, overdue: false, demand: SortedVec::new() };
         let reporter = self.reporters.get_or_insert_with(node.clone(), new_entry);
-        reporter.uncount(&mut self.total_demand);
+        if !reporter.overdue {
+            reporter.subtract_demand(&mut self.total_demand);
+        }
         let elapsed_s = now.saturating_since(reporter.last_report).as_secs_f64();
         let time_constant_s = DEMAND_TIME_CONSTANT.as_secs_f64();
         let factor = (-elapsed_s / time_constant_s).exp();
         reporter.last_report = now;
-        reporter.charged = false;
+        reporter.overdue = false;
         reporter.demand.retain(|_, rate| {
             *rate *= factor;
             *rate > 0.01
@@ -146,7 +137,7 @@
                 account.level -= f64::from(*admitted);
             }
         }
-        reporter.count(&mut self.total_demand);
+        reporter.add_demand(&mut self.total_demand);
         self.reporters
             .retain(|_, reporter| now.saturating_since(reporter.last_report) < REPORTER_RETENTION);
     }
@@ -173,13 +164,13 @@
         }
     }
 
-    /// Marks the nodes whose report became overdue as charged, and returns their number.
+    /// Marks the nodes whose report became overdue, and returns their number.
     fn mark_newly_overdue(&mut self, now: Instant) -> usize {
         let overdue = self.reporters.values_mut().filter(|reporter| !is_reporting(reporter, now));
         let mut count = 0;
-        for reporter in overdue.filter(|reporter| !reporter.charged) {
-            reporter.charged = true;
-            reporter.uncount(&mut self.total_demand);
+        for reporter in overdue.filter(|reporter| !reporter.overdue) {
+            reporter.overdue = true;
+            reporter.subtract_demand(&mut self.total_demand);
             count += 1;
         }
         count
--- a/crates/admission/tests/limits.rs
+++ b/crates/admission/tests/limits.rs
@@ -169,8 +169,8 @@
     assert_eq!(site.refused, 0);
 }
 
-// Guards against a report interval that grows with the site while the lifetime of a report does not:
-// at 295 nodes every node was overdue a third of the time, accounts were charged for it, and
+// Guards against a report interval that grows with the site while the lifetime of a report does
+// not: at 295 nodes every node was overdue a third of the time, accounts were charged for it, and
 // customers within their rate were refused (run quiet-1 of ra-gateway-large).
 #[rstest]
 fn requests_within_the_limit_pass_at_any_number_of_nodes(#[values(12, 83, 295, 800)] nodes: usize) {
--- a/crates/ranges/src/assigner_settings.rs
+++ b/crates/ranges/src/assigner_settings.rs
@@ -18,9 +18,9 @@
     pub renew_interval: Duration,
     /// Delay before a failed grant or release is retried.
     pub retry_interval: Duration,
-    /// Time between the decision to release the keys of a leaving target and the release. Nodes learn
-    /// meanwhile that the target is leaving and hold requests for the next owner. A request that
-    /// is sent to the target later is refused there and takes a retry.
+    /// Time between the decision to release the keys of a leaving target and the release. Nodes
+    /// learn meanwhile that the target is leaving and hold requests for the next owner. A request
+    /// that is sent to the target later is refused there and takes a retry.
     pub release_notice: Duration,
     /// Interval between checks for hot ranges.
     pub balance_interval: Duration,
--- a/crates/ranges/tests/hot_range.rs
+++ b/crates/ranges/tests/hot_range.rs
@@ -175,9 +175,8 @@
     assert!(excess < HOT_PER_S as f64 / 10.0, "{excess} of {HOT_PER_S} requests a second");
 }
 
-// Guards against hot keys that stay together because each of them exceeds the fair load of a target:
-// with 60 keys at 337 targets their owners refused most requests for as long as the range was hot
-// (run quiet-1 of ra-gateway-large).
+// Guards against hot keys that stay together because each of them exceeds the fair load of a
+// target: their owners refuse most requests for as long as the range is hot.
 #[test]
 fn keys_above_the_fair_load_are_spread() {
     let mut site = Site::new(|_| 1.0);
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -141,12 +141,11 @@
         state.issuer.record_usage(now, &node, &report.used);
         let previous = state.reporters.insert(node.clone(), report.from.clone());
         state.reporters_changed |= previous.is_none_or(|previous| previous != report.from);
-        update_node_list(state, now);
-        let rules = || state.config.iter().flat_map(|config| config.customers());
         reply.shares =
             state.shares.iter().map(|(id, shares)| (id.clone(), shares.clone())).collect();
         reply.allowances = state.issuer.allowances(now, &node, rules());
         reply.site_nodes = state.issuer.nodes(now);
+        update_node_list(state, now);
         reply.nodes_version = state.reporters_version;
         // A new leader knows few nodes at first. With a list of only these, the wrong nodes would
         // become relays, candidates and senders to cold targets.
@@ -167,10 +166,8 @@
     let count_before = reporters.len();
     reporters.retain(|reporter, _| issuer.is_live(now, reporter));
     let removed = reporters.len() < count_before;
-    if removed || std::mem::take(&mut state.reporters_changed) {
-        state.reporters_changed = false;
-        state.reporters_version += 1;
-    }
+    let changed = std::mem::take(&mut state.reporters_changed);
+    state.reporters_version += u64::from(changed || removed);
 }
 
 /// Answers the calls of other nodes until the process stops.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -38,8 +38,8 @@
 /// often in flight at a target that another request crashes.
 const LOSSES_TO_REFUSE_ANSWERED: usize = 4;
 
-/// Part of the site's retry share that a node uses, in percent. The site counts retries of all
-/// nodes in sliding windows; the remainder covers retries of other nodes, which a node cannot see.
+/// Part of the site's retry share that a node uses, in percent. The site counts retries in sliding
+/// windows, which the seconds of a node do not match exactly.
 const RETRY_SHARE_USED_PERCENT: u32 = 90;
 
 /// Part of the slack of customers' limits that is used as additional burst, in percent. The rest
@@ -106,8 +106,8 @@
     pub(crate) source: ChangeSource,
     /// The table whose feed is retried while the store is unreachable; `None` while it answers.
     pub(crate) store_down: Option<&'static str>,
-    /// When the requests in progress must be answered because this process ends; `None` unless it is
-    /// shutting down.
+    /// When the requests in progress must be answered because this process ends; `None` unless it
+    /// is shutting down.
     pub(crate) shutdown_deadline: Option<Instant>,
     pub(crate) random: SmallRng,
     pub(crate) stats: Stats,
