Notice targets that turn slow, also by requests they do not answer

Cause: the speed of a target was an average over 8 s, limited to 0.4 of the mean. Requests without an answer changed no estimate, so a node went on choosing a target that timed out.

Change: TargetSpeeds keeps a recent service time (1.5 s). A target whose recent time exceeds its average by 3.5 times counts with the recent one, down to a speed of 0.05; its average keeps the usual speed meanwhile, so that it is forgiven soon. A request that was not answered counts as a lower bound of the service time.

Result: tests with a target ten times as slow, with noise of three times for 400 ms, and with an unanswered request.

--- a/crates/admission/src/target_load.rs
+++ b/crates/admission/src/target_load.rs
@@ -21,6 +21,11 @@
 /// own the key.
 const NOT_OWNER_PERIOD: Duration = Duration::from_millis(400);
 
+/// Least number of rounds that a request may have waited at a target that did not answer it, in the
+/// reports to the leader. The queue of a target that does not answer is unknown, and a full queue
+/// must not look like a slow target.
+const UNANSWERED_ROUNDS_MIN: f64 = 3.0;
+
 /// Half-life of the failure ratio without new outcomes.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 
@@ -82,18 +87,41 @@
     /// Records a successful response and its response time. `slots` is the number of requests that
     /// the target runs in parallel.
     pub fn on_response(&mut self, now: Instant, response_time: Duration, slots: u32) {
-        let rounds = self.request_count(now) / f64::from(slots.max(1));
-        let service_us = response_time.as_micros() as f64 / rounds.max(1.0);
+        let service_us = response_time.as_micros() as f64 / self.rounds(now, slots);
         if let Some(waiting) = self.reported_waiting.take() {
             self.reports += 1;
             self.waiting += u64::from(waiting);
         }
         self.responses += 1;
         self.service_total_us += service_us as u64;
+        self.update_service_time(service_us);
+        self.record_outcome(now, 0.0);
+    }
+
+    /// Records a request that the target had not answered after `elapsed`. This is a lower bound of
+    /// its service time, so it counts only if it exceeds the average.
+    pub fn on_unanswered(&mut self, now: Instant, elapsed: Duration, slots: u32) {
+        let (elapsed_us, rounds) = (elapsed.as_micros() as f64, self.rounds(now, slots));
+        let mean_us = self.service_us.unwrap_or_default();
+        let reported_us = elapsed_us / rounds.max(UNANSWERED_ROUNDS_MIN);
+        if reported_us > mean_us {
+            self.responses += 1;
+            self.service_total_us += reported_us as u64;
+        }
+        if elapsed_us / rounds > mean_us {
+            self.update_service_time(elapsed_us / rounds);
+        }
+    }
+
+    /// Returns the number of rounds in which the target runs the requests that it has now.
+    fn rounds(&self, now: Instant, slots: u32) -> f64 {
+        (self.request_count(now) / f64::from(slots.max(1))).max(1.0)
+    }
+
+    fn update_service_time(&mut self, service_us: f64) {
         let weight = f64::from(SERVICE_WEIGHT_PERCENT) / 100.0;
         let mean_us = self.service_us.unwrap_or(service_us);
         self.service_us = Some(mean_us + weight * (service_us - mean_us));
-        self.record_outcome(now, 0.0);
     }
 
     /// Returns and resets the counts since the last call, or `None` if there were neither responses
--- a/crates/admission/src/target_speeds.rs
+++ b/crates/admission/src/target_speeds.rs
@@ -11,6 +11,23 @@
 /// other load on the host slows a target for fractions of a second, which must not move keys.
 const SERVICE_TIME_CONSTANT: Duration = Duration::from_secs(8);
 
+/// Time constant of the recent service time, which shows a target that has turned slow.
+const RECENT_TIME_CONSTANT: Duration = Duration::from_millis(1_500);
+
+/// Minimum weight of the responses in the recent service time.
+const RECENT_RESPONSES_MIN: f64 = 2.0;
+
+/// A target whose recent service time exceeds its average by this factor has turned slow. Other load
+/// on the host slows a target by less, and for fractions of a second.
+const SLOWED_RATIO: f64 = 3.5;
+
+/// Responses count in the average of a target with at most this multiple of it, so that the average
+/// remains that of the usual speed until the recent service time shows that the target is slow.
+const OUTLIER_RATIO: f64 = 4.0;
+
+/// Minimum relative speed of a target that has turned slow.
+const SLOWED_SPEED_MIN: f64 = 0.05;
+
 /// Weight of the mean service time in the average of a target, in responses, so that a few
 /// responses change its speed only a little.
 const PRIOR_RESPONSES: f64 = 6.0;
@@ -49,7 +66,8 @@
     pub target: TargetId,
     /// Responses without refusals and losses.
     pub responses: u32,
-    /// Sum of their service times, without time in the queue of the target.
+    /// Sum of their service times, without time in the queue of the target. Requests that the target
+    /// did not answer in time count with a lower bound.
     pub total_us: u64,
     /// Load reports that came with these responses.
     pub reports: u32,
@@ -63,6 +81,8 @@
 struct Averages {
     responses: f64,
     total_us: f64,
+    recent_responses: f64,
+    recent_total_us: f64,
     reports: f64,
     waiting: f64,
     failed: f64,
@@ -73,10 +93,13 @@
     fn at(self, now: Instant) -> Self {
         let age = now.saturating_since(self.updated).as_secs_f64();
         let remaining = (-age / SERVICE_TIME_CONSTANT.as_secs_f64()).exp();
+        let recent_remaining = (-age / RECENT_TIME_CONSTANT.as_secs_f64()).exp();
         let queue_remaining = (-age / QUEUE_TIME_CONSTANT.as_secs_f64()).exp();
         Self {
             responses: self.responses * remaining,
             total_us: self.total_us * remaining,
+            recent_responses: self.recent_responses * recent_remaining,
+            recent_total_us: self.recent_total_us * recent_remaining,
             reports: self.reports * queue_remaining,
             waiting: self.waiting * queue_remaining,
             failed: self.failed * queue_remaining,
@@ -84,6 +107,24 @@
         }
     }
 
+    /// Returns the average service time in microseconds, or `None` with too few responses.
+    fn average_us(self) -> Option<f64> {
+        (self.responses >= PRIOR_RESPONSES).then(|| self.total_us / self.responses)
+    }
+
+    /// Returns the recent service time in microseconds if the target has turned slow.
+    fn slowed_us(self) -> Option<f64> {
+        let average_us = self.average_us()?;
+        let recent_us = self.recent_total_us / self.recent_responses;
+        let is_slow = recent_us > SLOWED_RATIO * average_us;
+        (is_slow && self.recent_responses >= RECENT_RESPONSES_MIN).then_some(recent_us)
+    }
+
+    /// Returns the service time up to which a response counts in the average, in microseconds.
+    fn outlier_us(self) -> f64 {
+        self.average_us().map_or(f64::INFINITY, |average_us| OUTLIER_RATIO * average_us)
+    }
+
     /// Returns the average queue length in recent reports.
     fn mean_queue(self) -> f64 {
         match self.reports > REPORTS_MIN {
@@ -117,8 +158,13 @@
         {
             let averages = self.averages.get_or_insert_with(target.clone(), Averages::default);
             *averages = averages.at(now);
-            averages.responses += f64::from(*responses);
-            averages.total_us += *total_us as f64;
+            averages.recent_responses += f64::from(*responses);
+            averages.recent_total_us += *total_us as f64;
+            if averages.slowed_us().is_none() {
+                let outlier_us = averages.outlier_us() * f64::from(*responses);
+                averages.responses += f64::from(*responses);
+                averages.total_us += (*total_us as f64).min(outlier_us);
+            }
             averages.reports += f64::from(*reports);
             averages.waiting += *waiting as f64;
             averages.failed += f64::from(*failed);
@@ -148,6 +194,9 @@
     pub fn relative_speed(&self, now: Instant, target: &TargetId, mean: Duration) -> f64 {
         let Some(own) = self.averages.get(target).map(|own| own.at(now)) else { return 1.0 };
         let mean_us = mean.as_micros() as f64;
+        if let Some(slowed_us) = own.slowed_us() {
+            return (mean_us / slowed_us).clamp(SLOWED_SPEED_MIN, SPEED_RANGE.1);
+        }
         let own_us = (own.total_us + PRIOR_RESPONSES * mean_us) / (own.responses + PRIOR_RESPONSES);
         (mean_us / own_us).clamp(SPEED_RANGE.0, SPEED_RANGE.1)
     }
--- a/crates/admission/tests/targets.rs
+++ b/crates/admission/tests/targets.rs
@@ -136,6 +136,82 @@
     assert!(relative(&speeds, &names[1]) > 1.4);
 }
 
+/// Interval between two reports, and the requests of each at a target.
+const REPORT_MS: u64 = 300;
+const REPORT_RESPONSES: u32 = 2;
+
+/// Feeds the reports of `span_ms` to the speeds, with the service time of the first target by time;
+/// the other one always takes 100 ms. Returns the lowest relative speed of the first target.
+fn lowest_speed(
+    speeds: &mut TargetSpeeds,
+    from_ms: u64,
+    span_ms: u64,
+    service_ms: impl Fn(u64) -> u64,
+) -> f64 {
+    let names: Vec<TargetId> = ["i-1", "i-2"].map(|name| name.parse().unwrap()).into();
+    let observations = |target: &TargetId, each_ms: u64| TargetObservations {
+        target: target.clone(),
+        responses: REPORT_RESPONSES,
+        total_us: u64::from(REPORT_RESPONSES) * each_ms * 1_000,
+        reports: REPORT_RESPONSES,
+        waiting: 0,
+        failed: 0,
+    };
+    let mut lowest = f64::INFINITY;
+    for ms in (from_ms..from_ms + span_ms).step_by(usize::try_from(REPORT_MS).unwrap()) {
+        let reported = [observations(&names[0], service_ms(ms)), observations(&names[1], 100)];
+        speeds.add_observations(at(ms), &reported);
+        let mean = speeds.mean_service_time(at(ms), names.iter()).unwrap();
+        lowest = lowest.min(speeds.relative_speed(at(ms), &names[0], mean));
+    }
+    lowest
+}
+
+// Guards against keys that stay on a target that has turned slow: nine of 23 targets took ten times
+// as long for nine seconds, kept their keys and answered one request in ten (incident inc-6de3 of
+// kuiseb-gate).
+#[test]
+fn a_target_that_turns_slow_is_noticed_and_forgiven() {
+    let mut speeds = TargetSpeeds::default();
+    lowest_speed(&mut speeds, 0, 10_000, |_| 100);
+    let slowed = lowest_speed(&mut speeds, 10_000, 1_500, |_| 1_000);
+    assert!(slowed < 0.2, "{slowed}");
+    // It is still slow after longer than the time constant of the average.
+    lowest_speed(&mut speeds, 11_500, 8_500, |_| 1_000);
+    let slow_speed = lowest_speed(&mut speeds, 20_000, REPORT_MS, |_| 1_000);
+    assert!(slow_speed < 0.2, "{slow_speed}");
+    lowest_speed(&mut speeds, 20_300, 5_000, |_| 100);
+    let recovered = lowest_speed(&mut speeds, 25_300, REPORT_MS, |_| 100);
+    assert!(recovered > 0.8, "{recovered}");
+}
+
+// Guards against keys that move because of other load on the host, which triples the service time
+// for 400 ms at a time.
+#[test]
+fn short_slowdowns_hardly_change_the_speed() {
+    let mut speeds = TargetSpeeds::default();
+    lowest_speed(&mut speeds, 0, 10_000, |_| 100);
+    let noisy = |ms: u64| if ms % 2_000 < 400 { 300 } else { 100 };
+    let lowest = lowest_speed(&mut speeds, 10_000, 20_000, noisy);
+    assert!(lowest > 0.7, "{lowest}");
+}
+
+// Guards against a node that goes on choosing a target that leaves its requests unanswered.
+#[test]
+fn a_target_that_does_not_answer_is_chosen_less() {
+    let targets = [target("near", "a"), target("far", "b")];
+    let near = "near".parse().unwrap();
+    let mut picker = TargetPicker::default();
+    let answered = Duration::from_millis(100);
+    (0..5).for_each(|_| picker.load(&near).on_response(at(1_000), answered, 2));
+    assert_eq!(pick(&mut picker, &targets, false, &[]), "near");
+    // A client that leaves early says nothing about the target.
+    picker.load(&near).on_unanswered(at(1_000), Duration::from_millis(50), 2);
+    assert_eq!(pick(&mut picker, &targets, false, &[]), "near");
+    picker.load(&near).on_unanswered(at(1_000), Duration::from_millis(1_500), 2);
+    assert_eq!(pick(&mut picker, &targets, false, &[]), "far");
+}
+
 // Guards against sending less to a target that refuses requests without need, and against sending
 // the same or more to a target that refuses them because of a long queue.
 #[test]
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -257,6 +257,9 @@
                 load.exclude_until(now + UNREACHABLE_PAUSE);
             }
             Observation::ConnectionLost { .. } => load.on_failure(now),
+            Observation::Cancelled { elapsed } if *elapsed >= UNANSWERED_WAIT_MIN => {
+                load.on_unanswered(now, *elapsed, slots);
+            }
             Observation::Misdirected | Observation::Cancelled { .. } => {}
         }
     }
