Look up the owner of a key again while a request waits

The next owner had refused the request since its grant had not arrived yet. The node then waited for a change of the owners, which does not come, as the table was right already, and refused the request at the end of the wait.

Change: the owner is looked up again every 100 ms during the wait.

--- a/crates/router/src/target_choice.rs
+++ b/crates/router/src/target_choice.rs
@@ -20,6 +20,11 @@
 /// returns no earlier.
 const MOVE_WAIT_MAX: Duration = Duration::from_millis(800);
 
+/// The owner of a key is looked up again at least this often while a request waits. A target that
+/// refused the request because its grant had not arrived yet becomes usable without a change of the
+/// owners.
+const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Latency assumed for a target without measurements.
 pub(crate) const DEFAULT_LATENCY: Duration = Duration::from_millis(150);
 
@@ -51,9 +56,11 @@
             _ => OWNER_WAIT_MAX,
         };
         let left = (started + wait_max).min(call.deadline).saturating_since(shared.now());
-        if left.is_zero() || timeout(left, changed).await.is_err() {
+        if left.is_zero() {
             return Err(reason);
         }
+        // Without a change within the interval, the look-up decides.
+        drop(timeout(left.min(OWNER_CHECK_INTERVAL), changed).await);
     }
 }
 
