--- a/crates/admission/src/target_speeds.rs
+++ b/crates/admission/src/target_speeds.rs
@@ -17,8 +17,8 @@
 /// Minimum weight of the responses in the recent service time.
 const RECENT_RESPONSES_MIN: f64 = 2.0;
 
-/// A target whose recent service time exceeds its average by this factor has turned slow. Other load
-/// on the host slows a target by less, and for fractions of a second.
+/// A target whose recent service time exceeds its average by this factor has turned slow. Other
+/// load on the host slows a target by less, and for fractions of a second.
 const SLOWED_RATIO: f64 = 3.5;
 
 /// Responses count in the average of a target with at most this multiple of it, so that the average
@@ -66,8 +66,8 @@
     pub target: TargetId,
     /// Responses without refusals and losses.
     pub responses: u32,
-    /// Sum of their service times, without time in the queue of the target. Requests that the target
-    /// did not answer in time count with a lower bound.
+    /// Sum of their service times, without time in the queue of the target. Requests that the
+    /// target did not answer in time count with a lower bound.
     pub total_us: u64,
     /// Load reports that came with these responses.
     pub reports: u32,
