Correct comments that promised more or less than the code does

Only requests that arrive during a shutdown get a deadline from it, not those already in progress; a member without excess load counts as exhausted too; the start delay also spares reads of the leader's row.

--- a/crates/ranges/src/balancer.rs
+++ b/crates/ranges/src/balancer.rs
@@ -58,8 +58,8 @@
     load_per_s: f64,
     /// Load that the member should have, in requests per second.
     fair_per_s: f64,
-    /// Whether no part of the member's ranges can be moved with a gain. This remains so while moves
-    /// are planned, since members that are not too busy only receive keys.
+    /// Whether no part of the member's ranges can be moved with a gain, because its load is not far
+    /// enough above the fair load or because no other member can take a part.
     exhausted: bool,
 }
 
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -27,7 +27,7 @@
 const LEADER_TIMEOUT_NON_CANDIDATE: Duration = Duration::from_secs(5);
 
 /// Nodes that are no candidates wait this long at the first start of a site, so that the candidates
-/// claim the lease first.
+/// claim the lease first and the others learn of the leader from them without a read of the store.
 const NON_CANDIDATE_START_DELAY: Duration = Duration::from_millis(2_500);
 
 /// Keeps the leader lease of this process up to date until the process stops.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -34,7 +34,8 @@
 /// of the shutdown.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
-/// Requests in progress are answered this long before the front end stops.
+/// Requests that arrive during a shutdown are answered at least this long before the front end
+/// stops.
 const SHUTDOWN_ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// Largest size of a request's head. The front end starts before the operators' configuration is
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -106,7 +106,7 @@
     pub(crate) source: ChangeSource,
     /// The table whose feed is retried while the store is unreachable; `None` while it answers.
     pub(crate) store_down: Option<&'static str>,
-    /// When the requests in progress must be answered because this process ends; `None` unless it
+    /// When requests that arrive during the shutdown must be answered; `None` unless this process
     /// is shutting down.
     pub(crate) shutdown_deadline: Option<Instant>,
     pub(crate) random: SmallRng,
