--- a/review/standin/pipelined_stop.rs
+++ b/review/standin/pipelined_stop.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
