--- a/review/standin/repeated_answer.rs
+++ b/review/standin/repeated_answer.rs
@@ -13,10 +13,11 @@
 
 use common::*;
 
-const INSTANCES: usize = 4;
+const INSTANCES: usize = 7;
+const SLOTS: usize = 2;
 const CLIENTS: usize = 16;
 /// Clients send for so long before the instance drains.
-const STEADY: Duration = Duration::from_secs(14);
+const STEADY: Duration = Duration::from_secs(17);
 /// Largest share of an instance's answers that are spoiled.
 const SPOILED_SHARE_MAX: f64 = 0.02;
 const KEYS: usize = 65_536;
@@ -48,7 +49,7 @@
     instances: Instances,
     record: Arc<Record>,
     violations: Mutex<Vec<String>>,
-    /// The next release at instance 0 is preceded by a copy of the connection's last answer.
+    /// The next release at instance 0, of keys at which it is at work, is preceded by a copy of the connection's last answer.
     spoil: AtomicBool,
     sequence: AtomicU64,
 }
@@ -101,18 +102,24 @@
                 state.seen[key] = state.seen[key].max(fence);
             }
         }
-        let at_work = || {
-            let state = self.instances[index].lock().unwrap();
-            state.working.iter().any(|(_, key, _)| (from..=to).contains(key))
-        };
-        while at_work() {
+        while self.is_at_work(index, call) {
             thread::sleep(Duration::from_millis(5));
         }
     }
 
+    fn is_at_work(&self, index: usize, call: &Json) -> bool {
+        let (from, to, _) = range(call);
+        let state = self.instances[index].lock().unwrap();
+        state.working.iter().any(|(_, key, _)| (from..=to).contains(key))
+    }
+
     /// Runs a request if the instance holds its key.
     fn run(&self, index: usize, key: usize) -> bool {
         let work = self.sequence.fetch_add(1, Ordering::Relaxed);
+        // The queue of the instance.
+        while self.instances[index].lock().unwrap().working.len() >= SLOTS {
+            thread::sleep(Duration::from_millis(2));
+        }
         {
             let mut state = self.instances[index].lock().unwrap();
             let Some(hold) = state.holds[key].filter(|hold| hold.until > Instant::now()) else {
@@ -142,7 +149,8 @@
                 "/wagtailmoor/grant" => (case.grant(index, &call), String::new()),
                 "/wagtailmoor/release" => {
                     case.record.add(format!("{id} receives the release of {what}"));
-                    if index == 0 && last_answer.is_some() && case.spoil.swap(false, Ordering::SeqCst) {
+                    let at_work = index == 0 && case.is_at_work(index, &call);
+                    if at_work && last_answer.is_some() && case.spoil.swap(false, Ordering::SeqCst) {
                         case.record.add(format!("{id} sends a second copy of an earlier answer on this connection"));
                         case.instances[index].lock().unwrap().spoiled += 1;
                         // The copy arrives while the answer to the release is expected.
@@ -217,7 +225,7 @@
     let mut rows = Vec::new();
     for index in 0..INSTANCES {
         let (listener, address) = listen(ip);
-        let row = server_row("huvo11a", address, "cba-a", 4, unix_ms() - 60_000);
+        let row = server_row("huvo11a", address, "cba-a", SLOTS as u32, unix_ms() - 60_000);
         store.put("servers", &format!("i-{index}"), Some(&row));
         rows.push(row);
         serve_instance(Arc::clone(&case), index, listener);
