--- a/review/standin/large_bodies.rs
+++ b/review/standin/large_bodies.rs
@@ -16,8 +16,10 @@
 const QUEUE: usize = 8;
 const WORK: Duration = Duration::from_millis(210);
 const INSTANCES: usize = 4;
-const CLIENTS: usize = 80;
-const WARM_UP_ROUNDS: usize = 2;
+const CLIENTS: usize = 120;
+const WARM_UP_ROUNDS: usize = 3;
+/// The clients of the burst come one after the other at this interval.
+const ARRIVAL_INTERVAL: Duration = Duration::from_millis(5);
 const DEADLINE_MS: u64 = 1_500;
 const SMALL_BODY_BYTES: usize = 4_000;
 const LONG_BODY_BYTES: usize = 100_000;
@@ -195,10 +197,11 @@
         let done: Shared<Vec<(usize, Client)>> = Arc::default();
         let results: Shared<Vec<(String, End)>> = Arc::default();
         let workers: Vec<_> = (0..at_once)
-            .map(|_| {
+            .map(|worker| {
                 let (clients, done, results) = (Arc::clone(clients), Arc::clone(&done), Arc::clone(&results));
                 let record = Arc::clone(record);
                 thread::spawn(move || loop {
+                    thread::sleep(ARRIVAL_INTERVAL * worker as u32);
                     let next = clients.lock().unwrap().pop();
                     let Some((number, mut client)) = next else { return };
                     let id = format!("{name}-{round}-{number}");
