Do not take refused connections for the exit of a target

Cause: the leader took two refused connections, between answers of other targets of the zone, as proof of an exit and vacated the keys at once. A partition that resets connections to single targets gives the same evidence.

Change: the exit detector is gone. Keys leave a target without a release only when its last grant has expired or another process answers at its address. When a grant has expired and the target still cannot be reached, the keys go to another target; before, they waited for the partition to end.

--- a/crates/ranges/src/command.rs
+++ b/crates/ranges/src/command.rs
@@ -48,7 +48,8 @@
     Fenced,
     /// No byte of the call reached the target.
     NotDelivered,
-    /// The connection was refused, by the host of an exited target or by a network partition.
+    /// The connection was refused, by the host of an exited target or by a network partition. No
+    /// proof of an exit.
     Refused,
     /// Another process responds at the target's address, so the process addressed has exited.
     Replaced,
--- a/crates/ranges/src/range_assigner.rs
+++ b/crates/ranges/src/range_assigner.rs
@@ -22,6 +22,10 @@
 /// A target process that was found to have exited receives no keys for this long.
 const EXITED_EXCLUSION: Duration = Duration::from_secs(4);
 
+/// A target process that could not be reached until its grants expired receives no keys for this
+/// long.
+const UNREACHABLE_EXCLUSION: Duration = Duration::from_secs(4);
+
 /// Number of ranges per member above which adjacent ranges are merged. Each range costs renewals
 /// and takes space in every copy of the table.
 const RANGES_PER_MEMBER_MAX: usize = 2;
@@ -56,6 +60,8 @@
     leaving: Vec<(TargetProcess, Instant)>,
     /// Processes that exited, each with the end of its exclusion.
     recently_exited: Vec<(TargetProcess, Instant)>,
+    /// Processes that could not be reached, each with the end of its exclusion.
+    unreachable: Vec<(TargetProcess, Instant)>,
     fast_load: KeyLoad,
     slow_load: KeyLoad,
     balance_at: Instant,
@@ -90,6 +96,7 @@
             storing: None,
             leaving: Vec::new(),
             recently_exited: Vec::new(),
+            unreachable: Vec::new(),
             fast_load: KeyLoad::new(now, FAST_TIME_CONSTANT),
             slow_load: KeyLoad::new(now, SLOW_TIME_CONSTANT),
             balance_at: now,
@@ -170,6 +177,7 @@
             return Vec::new();
         }
         self.recently_exited.retain(|(_, until)| *until > now);
+        self.unreachable.retain(|(_, until)| *until > now);
         self.update_lost_owners(now);
         if self.authority.may_move(now) {
             self.start_releases_of_leaving(now);
@@ -196,7 +204,7 @@
         let (renew, retry) = (self.settings.renew_interval, self.settings.retry_interval);
         let validity_max = self.settings.grant_validity_max();
         let has_exited = self.recently_exited.iter().any(|(known, _)| known == process);
-        let mut replaced = false;
+        let (mut replaced, mut unreachable) = (false, false);
         for entry in self.ranges.iter_mut() {
             let is_affected = entry.epoch == epoch && entry.range.intersection(range).is_some();
             if !is_affected || entry.owner.as_ref() != Some(process) {
@@ -220,6 +228,14 @@
                     *renew_at = now + retry;
                     entry.confirmed_expires = entry.expires;
                 }
+                // The target no longer owns the keys, so they may go to one that can be reached.
+                GrantOutcome::NotDelivered | GrantOutcome::Refused
+                    if now >= entry.confirmed_expires =>
+                {
+                    entry.expires = entry.confirmed_expires;
+                    entry.state = RangeState::Vacant { free_from: now, to: None };
+                    unreachable = true;
+                }
                 GrantOutcome::NotDelivered | GrantOutcome::Refused => {
                     *renew_at = now + retry;
                     // A grant that was not delivered does not extend the previous one.
@@ -235,6 +251,9 @@
                 GrantOutcome::Replaced => replaced = true,
             }
         }
+        if unreachable {
+            self.unreachable.push((process.clone(), now + UNREACHABLE_EXCLUSION));
+        }
         if replaced {
             self.on_exited(now, process);
         }
@@ -437,8 +456,8 @@
     }
 
     fn is_eligible(&self, member: &Member) -> bool {
-        member.eligible
-            && !self.recently_exited.iter().any(|(process, _)| *process == member.process)
+        let mut excluded = self.recently_exited.iter().chain(&self.unreachable);
+        member.eligible && !excluded.any(|(process, _)| *process == member.process)
     }
 
     /// Assigns owners to vacant ranges.
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -9,8 +9,8 @@
 use rand_chacha::ChaCha8Rng;
 use wagtailmoor_core::{Epoch, Incarnation, Instant, ShardKey};
 use wagtailmoor_ranges::{
-    AssignerSettings, AssignmentTable, Authority, Command, ExitDetector, GrantOutcome, KeyRange,
-    Member, RangeAssigner, ReleaseOutcome, StoreOutcome, TargetProcess,
+    AssignerSettings, AssignmentTable, Authority, Command, GrantOutcome, KeyRange, Member,
+    RangeAssigner, ReleaseOutcome, StoreOutcome, TargetProcess,
 };
 
 /// Duration of one simulation step.
@@ -25,8 +25,6 @@
 /// Keys whose ownership is checked at each step.
 const CHECKED_KEYS: [u16; 9] = [0, 100, 9_000, 20_000, 32_768, 40_000, 50_000, 60_000, 65_535];
 
-const ZONE: &str = "zone-a";
-
 /// Bugs that a test injects and the checks must detect.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum InjectedBug {
@@ -70,7 +68,6 @@
 struct Leader {
     assigner: Option<RangeAssigner>,
     authority: Authority,
-    exit_detector: ExitDetector,
     /// Version of the table that this leader read or wrote last.
     version: u64,
     frozen_until: Instant,
@@ -109,7 +106,6 @@
         let leaders = (0..2).map(|_| Leader {
             assigner: None,
             authority: Authority::default(),
-            exit_detector: ExitDetector::default(),
             version: 0,
             frozen_until: Instant::default(),
         });
@@ -163,10 +159,8 @@
             0..4 if up > 2 => target.crash(now + listing_delay),
             4..30 if !target.up => target.restart(now + listing_delay / 3, address_changed),
             30..36 if now >= target.partitioned_until => {
-                // A partition of a single target drops packets. One that refuses connections is not
-                // distinguishable from an exit, which is a documented limit.
                 target.partitioned_until = now + span;
-                target.partition_refuses = false;
+                target.partition_refuses = refuses;
             }
             // A partition of the whole zone may refuse connections to every target in it.
             36..38 => self.targets.iter_mut().for_each(|target| {
@@ -178,7 +172,7 @@
                 target.unlisted_until = now + span;
                 if refuses && now >= target.partitioned_until {
                     target.partitioned_until = now + span;
-                    target.partition_refuses = false;
+                    target.partition_refuses = self.random.random_bool(0.5);
                 }
             }
             38..41 if up > 2 => target.leaving = true,
@@ -309,13 +303,11 @@
             _ => Vec::new(),
         };
         let leader = &mut self.leaders[index];
-        let exited = leader.exit_detector.take_exited();
         let authority = leader.authority;
         let Some(assigner) = &mut leader.assigner else { return };
         assigner.set_authority(authority);
         presumed_exited.iter().for_each(|process| assigner.on_exited(now, process));
         assigner.set_members(now, members);
-        exited.iter().for_each(|process| assigner.on_exited(now, process));
         keys.iter().for_each(|(key, requests)| assigner.add_load(*key, *requests));
         for command in assigner.tick(now) {
             self.moves += u64::from(matches!(command, Command::Release { .. }));
@@ -484,16 +476,7 @@
         let now = self.now;
         let Command::Grant { process, range, epoch, .. } = &call.command else { return };
         let injected_bug = self.injected_bug;
-        let zone = ZONE.parse().unwrap();
-        let leader = &mut self.leaders[call.leader];
-        match outcome {
-            GrantOutcome::Refused => {
-                leader.exit_detector.on_refused(now, process, &zone, call.sent)
-            }
-            GrantOutcome::Held => leader.exit_detector.on_response(now, process, &zone, call.sent),
-            _ => {}
-        }
-        let Some(assigner) = &mut leader.assigner else { return };
+        let Some(assigner) = &mut self.leaders[call.leader].assigner else { return };
         assigner.on_grant_outcome(now, process, *range, *epoch, call.sent, outcome);
         if injected_bug == InjectedBug::TakesRefusalsForExits && outcome == GrantOutcome::Refused {
             assigner.on_exited(now, process);
--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -112,14 +112,9 @@
     let mean = mean_service_time(state, now, back_end);
     let members = members(state, now, back_end, mean);
     update_shares(state, now, back_end, mean);
-    let exited = state.exit_detector.take_exited();
     let Some(assigner) = state.assigners.get_mut(back_end) else { return Vec::new() };
     assigner.set_authority(authority);
     assigner.set_members(now, members);
-    for process in exited {
-        Event::new("target-ended").field("target", &process).warn();
-        assigner.on_exited(now, &process);
-    }
     assigner.tick(now)
 }
 
@@ -231,33 +226,11 @@
         GrantOutcome::Held => event.debug(),
         _ => event.warn(),
     }
-    let state = &mut *state;
-    record_response(state, now, process, sent_at, outcome);
     if let Some(assigner) = state.assigners.get_mut(back_end) {
         assigner.on_grant_outcome(now, process, call.range, call.epoch, sent_at, outcome);
     }
 }
 
-/// Passes the response to a grant to the exit detector.
-fn record_response(
-    state: &mut RouterState,
-    now: Instant,
-    process: &TargetProcess,
-    sent_at: Instant,
-    outcome: GrantOutcome,
-) {
-    let Some(zone) = state.registry.get(&process.target).map(|target| target.zone.clone()) else {
-        return;
-    };
-    match outcome {
-        GrantOutcome::Refused => state.exit_detector.on_refused(now, process, &zone, sent_at),
-        GrantOutcome::Held | GrantOutcome::Fenced => {
-            state.exit_detector.on_response(now, process, &zone, sent_at);
-        }
-        GrantOutcome::Replaced | GrantOutcome::NotDelivered | GrantOutcome::Unknown => {}
-    }
-}
-
 async fn release<C: TargetControl>(
     shared: &Shared,
     control: &C,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -15,7 +15,7 @@
 };
 use wagtailmoor_dispatch::{CrashLedger, CrashSettings, LedgerVersion, UnansweredRequests};
 use wagtailmoor_limits::RetryBudget;
-use wagtailmoor_ranges::{AssignmentTable, ExitDetector, RangeAssigner, RangeShare};
+use wagtailmoor_ranges::{AssignmentTable, RangeAssigner, RangeShare};
 use wagtailmoor_site::{Registry, SiteConfig};
 use wagtailmoor_telemetry::Event;
 
@@ -92,8 +92,6 @@
     pub(crate) reporters_version: u64,
     /// When the reporters were last checked for changes.
     pub(crate) reporters_checked_at: Instant,
-    /// Detects target processes that have exited; used only while this process leads.
-    pub(crate) exit_detector: ExitDetector,
     /// When the leader last answered a report of this node.
     pub(crate) leader_last_contact: Instant,
     /// When the store last answered a read or write of the leader's row by this node.
@@ -175,7 +173,6 @@
             reporters_changed: false,
             reporters_version: seed << 16,
             reporters_checked_at: Instant::default(),
-            exit_detector: ExitDetector::default(),
             leader_last_contact: Instant::default(),
             store_last_contact: Instant::default(),
             leader_renewal_overdue: false,
