Return the version of a confirmed write as it was read

Cause: write_and_confirm read the row back, found its own write and returned the expected version plus one. The platform's store numbers the versions of all rows with one counter, so the leader's next renewal expected a version that never existed and failed.

Change: the version is that of the row read back. The function writes one row, as all callers do, since one read says nothing on further rows.

--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -11,7 +11,7 @@
     AssignerSettings, AssignmentTable, Authority, Command, GrantOutcome, Member, RangeAssigner,
     ReleaseOutcome, StoreOutcome, TargetProcess,
 };
-use wagtailmoor_store::{RowWrite, Table, WriteOutcome, write_and_confirm};
+use wagtailmoor_store::{ConfirmedOutcome, RowWrite, Table, write_and_confirm};
 use wagtailmoor_telemetry::Event;
 
 use crate::feeds::RANGES_TABLE;
@@ -83,9 +83,9 @@
         None => version,
         Some(owners) => match write_owners(shared, table, back_end, owners, version).await {
             // From here on writes of a previous leader fail, since they expect the old version.
-            WriteOutcome::Done(versions) => versions.first().copied().unwrap_or_default(),
-            WriteOutcome::Conflict { .. } => return shared.write().lease.suspend(),
-            WriteOutcome::Unknown => return,
+            ConfirmedOutcome::Done(version) => version,
+            ConfirmedOutcome::Conflict => return shared.write().lease.suspend(),
+            ConfirmedOutcome::Unknown => return,
         },
     };
     let now = shared.now();
@@ -264,10 +264,10 @@
     back_end: &BackEndId,
     owners: &AssignmentTable,
     expected: RowVersion,
-) -> WriteOutcome {
+) -> ConfirmedOutcome {
     let value = serde_json::to_value(owners).expect("an assignment table is representable in JSON");
     let write = RowWrite { row: row_name(back_end).into(), expected, value: Some(value) };
-    write_and_confirm(table, write_id(shared), &[write]).await
+    write_and_confirm(table, write_id(shared), write).await
 }
 
 async fn store<T: Table>(
@@ -282,14 +282,13 @@
     let mut state = shared.write();
     let state = &mut *state;
     let outcome = match outcome {
-        WriteOutcome::Done(versions) => {
-            let version = versions.first().copied().unwrap_or_default();
+        ConfirmedOutcome::Done(version) => {
             state.table_versions.insert(back_end.clone(), version);
             state.tables.insert(back_end.clone(), owners);
             StoreOutcome::Stored
         }
-        WriteOutcome::Conflict { .. } => StoreOutcome::Conflict,
-        WriteOutcome::Unknown => StoreOutcome::Failed,
+        ConfirmedOutcome::Conflict => StoreOutcome::Conflict,
+        ConfirmedOutcome::Unknown => StoreOutcome::Failed,
     };
     Event::new("owners-stored")
         .field("back_end", back_end)
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 use wagtailmoor_admission::ReportTiming;
 use wagtailmoor_core::{Instant, RowVersion, WriteId};
-use wagtailmoor_store::{RowWrite, Table, WriteOutcome, write_and_confirm};
+use wagtailmoor_store::{ConfirmedOutcome, RowWrite, Table, write_and_confirm};
 use wagtailmoor_telemetry::Event;
 
 use crate::leader_lease::{LeaderRow, LeaseAction};
@@ -147,19 +147,19 @@
     let write_id = write_id(shared);
     let value = serde_json::to_value(&row).expect("the leader row is representable in JSON");
     let write = RowWrite { row: LEADER_ROW.into(), expected, value: Some(value) };
-    let outcome = write_and_confirm(table, write_id, &[write]).await;
+    let outcome = write_and_confirm(table, write_id, write).await;
     let now: Instant = shared.now();
     let mut state = shared.write();
     match outcome {
-        WriteOutcome::Done(versions) => {
+        ConfirmedOutcome::Done(version) => {
             state.store_last_contact = now;
-            state.lease.on_written(now, row, versions.first().copied());
+            state.lease.on_written(now, row, Some(version));
         }
-        WriteOutcome::Conflict { .. } => {
+        ConfirmedOutcome::Conflict => {
             state.store_last_contact = now;
             state.lease.on_written(now, row, None);
         }
-        WriteOutcome::Unknown => state.lease.on_failed(),
+        ConfirmedOutcome::Unknown => state.lease.on_failed(),
     }
 }
 
--- a/crates/store/src/config_store.rs
+++ b/crates/store/src/config_store.rs
@@ -6,7 +6,7 @@
 use wagtailmoor_configuration::{ChangeRecord, Configuration, MergeOutcome, Propagation, Snapshot};
 use wagtailmoor_core::{ConfigVersion, RowVersion, WriteId};
 
-use crate::{ObjectStore, RowWrite, StoreError, Table, WriteOutcome, write_and_confirm};
+use crate::{ConfirmedOutcome, ObjectStore, RowWrite, StoreError, Table, write_and_confirm};
 
 const ROW_PREFIX: &str = "config/";
 const LATEST_SNAPSHOT: &str = "config/snapshot/latest";
@@ -78,10 +78,10 @@
         expected: RowVersion::new(0),
         value: Some(value),
     };
-    match write_and_confirm(table, write_id, &[write]).await {
-        WriteOutcome::Done(_) => AppendOutcome::Done,
-        WriteOutcome::Conflict { .. } => AppendOutcome::Conflict,
-        WriteOutcome::Unknown => AppendOutcome::Unknown,
+    match write_and_confirm(table, write_id, write).await {
+        ConfirmedOutcome::Done(_) => AppendOutcome::Done,
+        ConfirmedOutcome::Conflict => AppendOutcome::Conflict,
+        ConfirmedOutcome::Unknown => AppendOutcome::Unknown,
     }
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -30,5 +30,5 @@
 pub use object_store::ObjectStore;
 pub use store_error::StoreError;
 pub use stored_row::StoredRow;
-pub use table::{Row, RowWrite, Table, WriteOutcome, write_and_confirm};
+pub use table::{ConfirmedOutcome, Row, RowWrite, Table, WriteOutcome, write_and_confirm};
 pub use wire::percent_encode;
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -47,6 +47,17 @@
     Unknown,
 }
 
+/// Outcome of a write of one row that was read back if its response was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfirmedOutcome {
+    /// The row was written and got this version.
+    Done(RowVersion),
+    /// Nothing was written, because the row did not have the expected version.
+    Conflict,
+    /// The row may or may not have been written, or may still be.
+    Unknown,
+}
+
 /// A transactional table with conditional writes.
 pub trait Table {
     /// Reads a row; `None` if it does not exist.
@@ -65,26 +76,27 @@
     fn write(&self, write_id: WriteId, writes: &[RowWrite]) -> impl Future<Output = WriteOutcome>;
 }
 
-/// Writes rows and, if the response is lost, reads the first row back to determine the outcome.
+/// Writes a row and, if the response is lost, reads the row back to determine the outcome.
 ///
-/// All rows of a transaction carry the same write id, so one row confirms the whole transaction.
-/// Otherwise the outcome stays unknown: another write may have replaced the row since, or this
-/// write may still arrive.
+/// The outcome stays unknown if the row read back is not the one written: another write may have
+/// replaced it since, or this write may still arrive.
 pub async fn write_and_confirm<T: Table>(
     table: &T,
     write_id: WriteId,
-    writes: &[RowWrite],
-) -> WriteOutcome {
-    let Some(first) = writes.first() else { return WriteOutcome::Done(Vec::new()) };
-    match table.write(write_id, writes).await {
-        WriteOutcome::Unknown => {}
-        known => return known,
-    }
-    match table.read(&first.row).await {
-        Ok(Some(row)) if row.write_id == write_id => {
-            let versions = writes.iter().map(|write| write.expected.next()).collect();
-            WriteOutcome::Done(versions)
-        }
-        _ => WriteOutcome::Unknown,
+    write: RowWrite,
+) -> ConfirmedOutcome {
+    let writes = [write];
+    match table.write(write_id, &writes).await {
+        WriteOutcome::Done(versions) => match versions.first() {
+            Some(version) => ConfirmedOutcome::Done(*version),
+            None => ConfirmedOutcome::Unknown,
+        },
+        WriteOutcome::Conflict { .. } => ConfirmedOutcome::Conflict,
+        WriteOutcome::Unknown => match table.read(&writes[0].row).await {
+            // The version does not follow from the expected one: a store may number the versions
+            // of all rows with one counter.
+            Ok(Some(row)) if row.write_id == write_id => ConfirmedOutcome::Done(row.version),
+            _ => ConfirmedOutcome::Unknown,
+        },
     }
 }
