Bind the granting of keys to one term of the leader

Cause: a node that lost the lease while it read and rewrote the stored owners inserted its assigner after the end of the term had removed all assigners. When it led again it did not read the owners, and granted keys under the epochs of the first term.

Change: an assigner is kept with the generation of the leader's row. It is inserted, ticked and told of outcomes only within that term; outcomes name the granter that issued the command. This also stops grants after a resignation, a late answer to a write of owners that confirms the write of the next term, and shares of the earlier term in replies to nodes.

--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -6,15 +6,16 @@
 
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use wagtailmoor_core::{BackEndId, Instant, RowVersion};
+use wagtailmoor_core::{BackEndId, Generation, Instant, RowVersion};
 use wagtailmoor_ranges::{
-    AssignerSettings, AssignmentTable, Authority, Command, GrantOutcome, Member, RangeAssigner,
+    AssignerSettings, AssignmentTable, Command, GrantOutcome, Member, RangeAssigner,
     ReleaseOutcome, StoreOutcome, TargetProcess,
 };
 use wagtailmoor_store::{ConfirmedOutcome, RowWrite, Table, write_and_confirm};
 use wagtailmoor_telemetry::Event;
 
 use crate::feeds::RANGES_TABLE;
+use crate::granter::{Granter, GranterId};
 use crate::leader_loop::write_id;
 use crate::state::{RouterState, Shared};
 use crate::target_choice::DEFAULT_LATENCY;
@@ -40,29 +41,36 @@
         // A notification ends the wait, but not before the shortest interval has passed.
         sleep(TICK_INTERVAL_MIN).await;
         drop(timeout(TICK_INTERVAL_MAX - TICK_INTERVAL_MIN, shared.assigner_due.notified()).await);
-        let now = shared.now();
-        let Some(authority) = shared.read().lease.authority(now) else { continue };
         let back_ends = keyed_back_ends(&shared.read());
         for back_end in back_ends {
-            if !shared.read().assigners.contains_key(&back_end) {
-                start(&shared, &*table, &back_end, authority).await;
+            let Some(term) = current_term(&shared) else { break };
+            if shared.read().granters.get(&back_end).is_none() {
+                start(&shared, &*table, &back_end, term).await;
             }
-            let commands = tick(&shared, &back_end, authority);
+            let Some((granter, commands)) = tick(&shared, &back_end) else { continue };
             for command in commands {
-                execute(&shared, &table, &control, &back_end, command);
+                execute(&shared, &table, &control, &back_end, granter, command);
             }
         }
     }
 }
 
+/// Returns the current term, and removes the granters of earlier ones.
+fn current_term(shared: &Shared) -> Option<Generation> {
+    let mut state = shared.write();
+    let term = state.lease.term(shared.now())?;
+    state.granters.retain_term(term);
+    Some(term)
+}
+
 fn keyed_back_ends(state: &RouterState) -> Vec<BackEndId> {
     let rules = state.config.iter().flat_map(|config| config.back_ends());
     rules.filter(|rule| rule.keyed).map(|rule| rule.back_end.clone()).collect()
 }
 
 /// Reads the stored owners of a back end, writes them back so that no previous leader can change
-/// them, and starts the assigner.
-async fn start<T: Table>(shared: &Shared, table: &T, back_end: &BackEndId, authority: Authority) {
+/// them, and starts the granter, unless the term has ended meanwhile.
+async fn start<T: Table>(shared: &Shared, table: &T, back_end: &BackEndId, term: Generation) {
     let row = match table.read(&row_name(back_end)).await {
         Ok(row) => row,
         Err(error) => {
@@ -89,11 +97,18 @@
         },
     };
     let now = shared.now();
+    let mut state = shared.write();
+    let authority = match (state.lease.term(now), state.lease.authority(now)) {
+        (Some(current), Some(authority)) if current == term => authority,
+        // Another leader may have stored other owners since the read.
+        _ => {
+            Event::new("granter-start-abandoned").field("back_end", back_end).warn();
+            return;
+        }
+    };
     let settings = AssignerSettings::default();
     let assigner = RangeAssigner::new(now, settings, authority, stored.as_ref());
-    let mut state = shared.write();
-    state.assigners.insert(back_end.clone(), assigner);
-    state.table_versions.insert(back_end.clone(), version);
+    state.granters.start(back_end.clone(), term, assigner, version);
     if let Some(table) = stored {
         state.tables.insert(back_end.clone(), table);
     }
@@ -104,18 +119,24 @@
         .info();
 }
 
-fn tick(shared: &Shared, back_end: &BackEndId, authority: Authority) -> Vec<Command> {
+/// Advances the granter of a back end. Returns the commands to execute with its id; `None` if the
+/// back end has no granter in the current term.
+fn tick(shared: &Shared, back_end: &BackEndId) -> Option<(GranterId, Vec<Command>)> {
     let now = shared.now();
     let mut state = shared.write();
+    let (term, authority) = (state.lease.term(now)?, state.lease.authority(now)?);
     state.remove_expired_targets(now);
     let state = &mut *state;
     let mean = mean_service_time(state, now, back_end);
     let members = members(state, now, back_end, mean);
     update_shares(state, now, back_end, mean);
-    let Some(assigner) = state.assigners.get_mut(back_end) else { return Vec::new() };
-    assigner.set_authority(authority);
-    assigner.set_members(now, members);
-    assigner.tick(now)
+    let granter = state.granters.get_mut(back_end)?;
+    if granter.generation != term {
+        return None;
+    }
+    granter.assigner.set_authority(authority);
+    granter.assigner.set_members(now, members);
+    Some((granter.id, granter.assigner.tick(now)))
 }
 
 fn members(state: &RouterState, now: Instant, back_end: &BackEndId, mean: Duration) -> Vec<Member> {
@@ -151,7 +172,9 @@
         return;
     }
     let objective = state.config.as_ref().and_then(|config| config.objective(back_end));
-    let (Some(objective), Some(assigner)) = (objective, state.assigners.get(back_end)) else {
+    let (Some(objective), Some(Granter { assigner, .. })) =
+        (objective, state.granters.get(back_end))
+    else {
         return;
     };
     let capacity = |process: &TargetProcess| {
@@ -167,12 +190,13 @@
     format!("{RANGES_TABLE}/{back_end}")
 }
 
-/// Starts a task that executes a command and reports its outcome to the assigner.
+/// Starts a task that executes a command of a granter and reports its outcome to it.
 fn execute<T: Table + 'static, C: TargetControl + 'static>(
     shared: &Shared,
     table: &Rc<T>,
     control: &Rc<C>,
     back_end: &BackEndId,
+    granter: GranterId,
     command: Command,
 ) {
     let (shared, table, control) = (Rc::clone(shared), Rc::clone(table), Rc::clone(control));
@@ -182,14 +206,16 @@
             Command::Grant { process, range, epoch, validity, handover } => {
                 let target = process.target.clone();
                 let call = GrantCall { target, range, epoch, validity, handover };
-                grant(&shared, &*control, &back_end, &process, &call).await;
+                grant(&shared, &*control, &back_end, granter, &process, &call).await;
             }
             Command::Release { process, range, epoch } => {
                 let target = process.target.clone();
                 let call = ReleaseCall { target, range, epoch };
-                release(&shared, &*control, &back_end, &process, &call).await;
+                release(&shared, &*control, &back_end, granter, &process, &call).await;
+            }
+            Command::Store { table: owners } => {
+                store(&shared, &*table, &back_end, granter, owners).await;
             }
-            Command::Store { table: owners } => store(&shared, &*table, &back_end, owners).await,
         }
         shared.assigner_due.notify_one();
     });
@@ -205,6 +231,7 @@
     shared: &Shared,
     control: &C,
     back_end: &BackEndId,
+    granter: GranterId,
     process: &TargetProcess,
     call: &GrantCall,
 ) {
@@ -226,7 +253,7 @@
         GrantOutcome::Held => event.debug(),
         _ => event.warn(),
     }
-    if let Some(assigner) = state.assigners.get_mut(back_end) {
+    if let Some(Granter { assigner, .. }) = state.granters.get_by_id(back_end, granter) {
         assigner.on_grant_outcome(now, process, call.range, call.epoch, sent_at, outcome);
     }
 }
@@ -235,6 +262,7 @@
     shared: &Shared,
     control: &C,
     back_end: &BackEndId,
+    granter: GranterId,
     process: &TargetProcess,
     call: &ReleaseCall,
 ) {
@@ -253,7 +281,7 @@
         .field("outcome", format!("{outcome:?}"))
         .field("elapsed_ms", now.saturating_since(sent_at).as_millis())
         .info();
-    if let Some(assigner) = state.assigners.get_mut(back_end) {
+    if let Some(Granter { assigner, .. }) = state.granters.get_by_id(back_end, granter) {
         assigner.on_release_outcome(now, process, call.range, call.epoch, &outcome);
     }
 }
@@ -274,35 +302,33 @@
     shared: &Shared,
     table: &T,
     back_end: &BackEndId,
+    granter: GranterId,
     owners: AssignmentTable,
 ) {
-    let expected = shared.read().table_versions.get(back_end).copied().unwrap_or_default();
-    let outcome = write_owners(shared, table, back_end, &owners, expected).await;
+    let known = shared.write().granters.get_by_id(back_end, granter).map(|known| known.row_version);
+    let Some(expected) = known else { return };
+    let written = write_owners(shared, table, back_end, &owners, expected).await;
     let now = shared.now();
     let mut state = shared.write();
     let state = &mut *state;
-    let outcome = match outcome {
-        ConfirmedOutcome::Done(version) => {
-            state.table_versions.insert(back_end.clone(), version);
-            state.tables.insert(back_end.clone(), owners);
-            StoreOutcome::Stored
-        }
-        ConfirmedOutcome::Conflict => StoreOutcome::Conflict,
-        ConfirmedOutcome::Unknown => StoreOutcome::Failed,
-    };
     Event::new("owners-stored")
         .field("back_end", back_end)
         .field("expected", expected)
-        .field("outcome", format!("{outcome:?}"))
+        .field("outcome", format!("{written:?}"))
         .info();
-    match (outcome, state.assigners.get_mut(back_end)) {
-        // Another process stored owners and may lead, so this assigner's state is invalid.
-        (StoreOutcome::Conflict, _) => {
-            state.assigners.remove(back_end);
+    let Some(granter) = state.granters.get_by_id(back_end, granter) else { return };
+    match written {
+        ConfirmedOutcome::Done(version) => {
+            granter.row_version = version;
+            granter.assigner.on_store_outcome(now, StoreOutcome::Stored);
+            state.tables.insert(back_end.clone(), owners);
+        }
+        // Another process stored owners and may lead, so the assigner's state is invalid.
+        ConfirmedOutcome::Conflict => {
+            state.granters.remove(back_end);
             state.lease.suspend();
         }
-        (outcome, Some(assigner)) => assigner.on_store_outcome(now, outcome),
-        (_, None) => {}
+        ConfirmedOutcome::Unknown => granter.assigner.on_store_outcome(now, StoreOutcome::Failed),
     }
     shared.routes_changed.notify_waiters();
 }
--- a/crates/router/src/leader_lease.rs
+++ b/crates/router/src/leader_lease.rs
@@ -124,6 +124,12 @@
         (self.leads && !self.suspended && now < self.authority.until).then_some(self.authority)
     }
 
+    /// Returns the generation under which this process may act as the leader; `None` if it may not
+    /// act.
+    pub fn term(&self, now: Instant) -> Option<Generation> {
+        self.authority(now).map(|_| self.own.generation)
+    }
+
     /// Returns whether this process leads and has failed to renew its lease in time.
     pub fn is_renewal_overdue(&self, now: Instant) -> bool {
         self.leads && now >= self.renewed_at + RENEW_INTERVAL + RENEWAL_OVERDUE_AFTER
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use tokio::time::sleep;
 use wagtailmoor_admission::ReportTiming;
-use wagtailmoor_core::{Instant, RowVersion, WriteId};
+use wagtailmoor_core::{Generation, Instant, RowVersion, WriteId};
 use wagtailmoor_store::{ConfirmedOutcome, RowWrite, Table, write_and_confirm};
 use wagtailmoor_telemetry::Event;
 
@@ -34,7 +34,7 @@
 pub(crate) async fn run<T: Table>(shared: Shared, table: Rc<T>) {
     let jitter = shared.write().random.random_range(0.0..1.0);
     sleep(START_JITTER_MAX.mul_f64(jitter)).await;
-    let mut was_leader = false;
+    let mut term = None;
     let delayed = shared.settings.first_start && !shared.read().source.is_candidate();
     if delayed {
         sleep(NON_CANDIDATE_START_DELAY).await;
@@ -61,7 +61,7 @@
             Some(action) => execute(&shared, &*table, action).await,
             None => probe(&shared, &*table).await,
         }
-        was_leader = update_leadership(&shared, was_leader);
+        term = update_leadership(&shared, term);
         sleep(TICK_INTERVAL).await;
     }
 }
@@ -71,7 +71,7 @@
     let action = {
         let mut state = shared.write();
         let now = shared.now();
-        state.assigners.clear();
+        state.granters.clear();
         state.lease.resign(now)
     };
     if let Some(action) = action {
@@ -94,13 +94,20 @@
     }
 }
 
-/// Handles the start and the end of this process's leadership; returns whether it leads now.
-fn update_leadership(shared: &Shared, was_leader: bool) -> bool {
+/// Handles the start and the end of a term of this process as the leader. `before` is the term at
+/// the last call; returns the current one.
+fn update_leadership(shared: &Shared, before: Option<Generation>) -> Option<Generation> {
     let now = shared.now();
     let mut state = shared.write();
-    let authority = state.lease.authority(now);
-    match (was_leader, authority) {
-        (false, Some(authority)) => {
+    let current = state.lease.term(now);
+    if before.is_some() && before != current {
+        Event::new("leader-lost").warn();
+        state.granters.clear();
+        state.shares.clear();
+        state.shares_computed_at.clear();
+    }
+    match state.lease.authority(now) {
+        Some(authority) if before != current => {
             let sole_in_ms = authority.sole_from.saturating_since(now).as_millis();
             Event::new("leader-gained").field("sole_in_ms", sole_in_ms).info();
             state.stats.count("leader-gained");
@@ -108,13 +115,9 @@
             let nodes_before = state.lease.nodes();
             state.issuer.start_term(now, nodes_before);
         }
-        (true, None) => {
-            Event::new("leader-lost").warn();
-            state.assigners.clear();
-        }
         _ => {}
     }
-    authority.is_some()
+    current
 }
 
 async fn execute<T: Table>(shared: &Shared, table: &T, action: LeaseAction) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,8 @@
 mod feeds;
 mod gateway;
 mod grant_loop;
+mod granter;
+mod granters;
 mod leader_lease;
 mod leader_loop;
 mod leader_view;
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -9,6 +9,7 @@
 use wagtailmoor_core::Instant;
 use wagtailmoor_telemetry::Event;
 
+use crate::granter::Granter;
 use crate::peer_link::{PeerCall, PeerLink};
 use crate::peer_service::{KeyCounts, LeaderReply, NodeReport};
 use crate::row_source;
@@ -129,8 +130,7 @@
     };
     if leads {
         for counts in &report.keys {
-            let assigner = state.assigners.get_mut(&counts.back_end);
-            if let Some(assigner) = assigner {
+            if let Some(Granter { assigner, .. }) = state.granters.get_mut(&counts.back_end) {
                 counts.keys.iter().for_each(|(key, requests)| assigner.add_load(*key, *requests));
             }
         }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -10,12 +10,11 @@
     ColdGate, CustomerLimits, LimitIssuer, LimitSettings, TargetPicker, TargetSpeeds,
 };
 use wagtailmoor_core::{
-    BackEndId, Clock, Incarnation, Instant, NodeId, PartsPerMillion, RowVersion, ShardKey,
-    SortedVec, TargetId,
+    BackEndId, Clock, Incarnation, Instant, NodeId, PartsPerMillion, ShardKey, SortedVec, TargetId,
 };
 use wagtailmoor_dispatch::{CrashLedger, CrashSettings, LedgerVersion, UnansweredRequests};
 use wagtailmoor_limits::RetryBudget;
-use wagtailmoor_ranges::{AssignmentTable, RangeAssigner, RangeShare};
+use wagtailmoor_ranges::{AssignmentTable, RangeShare};
 use wagtailmoor_site::{Registry, SiteConfig};
 use wagtailmoor_telemetry::Event;
 
@@ -23,6 +22,7 @@
 use crate::admitted_shares::AdmittedShares;
 use crate::boot_clock::BootClock;
 use crate::change_source::ChangeSource;
+use crate::granters::Granters;
 use crate::leader_lease::LeaderLease;
 use crate::leader_view::LeaderView;
 use crate::node_settings::NodeSettings;
@@ -74,9 +74,8 @@
     pub(crate) shares: SortedVec<BackEndId, Vec<RangeShare>>,
     /// When this process last computed the shares of each back end.
     pub(crate) shares_computed_at: SortedVec<BackEndId, Instant>,
-    pub(crate) assigners: SortedVec<BackEndId, RangeAssigner>,
-    /// Versions of the rows in which the owners of each back end were last stored.
-    pub(crate) table_versions: SortedVec<BackEndId, RowVersion>,
+    /// Assign ranges while this process leads.
+    pub(crate) granters: Granters,
     /// Speeds of targets; used only while this process leads.
     pub(crate) speeds: TargetSpeeds,
     /// When this process became the leader.
@@ -164,8 +163,7 @@
             admitted_shares: AdmittedShares::default(),
             shares: SortedVec::new(),
             shares_computed_at: SortedVec::new(),
-            assigners: SortedVec::new(),
-            table_versions: SortedVec::new(),
+            granters: Granters::default(),
             speeds: TargetSpeeds::default(),
             leading_since: now,
             issuer: LimitIssuer::new(limits),
