Answer the pipelined requests that run when a planned stop begins

Cause: at the stop, the connection was shut down by hyper, which knows of one request at a time and ends the connection after the current response. The requests that had been started early were aborted with it.

Change: at the stop no further request is started early, and the connection is shut down once the last started one is awaited. That response carries connection: close; later requests are left unread, so clients may repeat them.

Two sessions for related paths, a connection over the limit and a refusal before the body was read, held before as well.

--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::CONNECTION;
 use http::request::Parts;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -160,7 +161,10 @@
                     },
                 };
                 state.answered.set(number + 1);
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(match pipelined_requests.is_finished() {
+                    true => closing(response),
+                    false => response,
+                })
             }
         });
         let head_max_bytes = self.limits.head_max_bytes;
@@ -181,10 +185,17 @@
             _ = connection.as_mut() => false,
             _ = stop.wait_for(|stop| *stop) => true,
         };
-        if stopped {
-            connection.as_mut().graceful_shutdown();
-            drop(connection.await);
+        if !stopped {
+            return;
+        }
+        // Clients get the responses to the requests that are running, but further ones are not read.
+        pipelined_requests.close();
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = pipelined_requests.all_awaited() => {}
         }
+        connection.as_mut().graceful_shutdown();
+        drop(connection.await);
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Response<ResponseBody<G>> {
@@ -279,6 +290,12 @@
     }
 }
 
+/// Marks a response as the last one on its connection.
+fn closing<B>(mut response: Response<B>) -> Response<B> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 fn client_fault_refusal(fault: ClientFault) -> Refusal {
     Refusal {
         reason: Reason::ClientTooSlow,
--- a/crates/front/tests/support/gateway.rs
+++ b/crates/front/tests/support/gateway.rs
@@ -6,14 +6,16 @@
 
 use tokio::sync::Notify;
 use wagtailmoor_core::{
-    Epoch, Instant, KeyDigest, KeyHash, Outcome, Reason, SlotId, TargetId, Weight,
+    Epoch, Instant, KeyDigest, KeyHash, Outcome, Reason, ShardKey, SlotId, TargetId, Weight,
 };
 use wagtailmoor_dispatch::{
     AttemptId, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
 };
-use wagtailmoor_front::{AssignedTarget, Call, Gateway, NativeDialect, Refusal, RequestHead};
+use wagtailmoor_front::{AssignedTarget, Call, Gateway, Refusal, RequestHead};
 use wagtailmoor_telemetry::Event;
 
+use super::dialect::ScriptedDialect;
+
 /// A retry budget that grants every retry.
 pub(crate) struct UnlimitedBudget;
 
@@ -26,7 +28,8 @@
 }
 
 /// Gateway for one session; [`lines`](Self::lines) returns the recorded calls.
-pub(crate) struct ScriptedGateway {
+pub(crate) struct ScriptedGateway<const EARLY: bool> {
+    dialect: ScriptedDialect<EARLY>,
     start: tokio::time::Instant,
     targets: Vec<SocketAddr>,
     calls: Cell<u128>,
@@ -36,9 +39,10 @@
     pub(crate) logged: Notify,
 }
 
-impl ScriptedGateway {
+impl<const EARLY: bool> ScriptedGateway<EARLY> {
     pub(crate) fn new(targets: Vec<SocketAddr>) -> Self {
         Self {
+            dialect: ScriptedDialect,
             start: tokio::time::Instant::now(),
             targets,
             calls: Cell::new(0),
@@ -62,15 +66,15 @@
     Refusal::not_run(reason, "refused by the script")
 }
 
-impl Gateway for ScriptedGateway {
-    type Dialect = NativeDialect;
+impl<const EARLY: bool> Gateway for ScriptedGateway<EARLY> {
+    type Dialect = ScriptedDialect<EARLY>;
     type Credit = ();
     type Guard = ();
     type ConnectionPermit = ();
     type Budget = UnlimitedBudget;
 
-    fn dialect(&self) -> &NativeDialect {
-        &NativeDialect
+    fn dialect(&self) -> &ScriptedDialect<EARLY> {
+        &self.dialect
     }
 
     fn now(&self) -> Instant {
@@ -108,7 +112,7 @@
             key: (head.path == "/owned").then(|| KeyHash::of(b"cart")),
             idempotent,
             record_key: head.idempotency_key.map(Into::into),
-            shard_key: None,
+            shard_key: (head.path == "/on-t2").then(|| ShardKey::new(2)),
             bulk: false,
             fresh_connection: head.path == "/fresh-connection",
             plan: PlanSettings {
@@ -171,7 +175,11 @@
             return Err(Reason::QueueFull);
         }
         let names = ["t1", "t2"].map(|name| name.parse::<TargetId>().unwrap());
-        let mut free = names.into_iter().zip(&self.targets);
+        let mut targets: Vec<_> = names.into_iter().zip(&self.targets).collect();
+        if call.shard_key == Some(ShardKey::new(2)) {
+            targets.reverse();
+        }
+        let mut free = targets.into_iter();
         let (target, address) =
             free.find(|(name, _)| !tried.contains(name)).ok_or(Reason::TargetUnavailable)?;
         let ownership = call.key.map(|_| (SlotId::new(3), Epoch::new(7)));
--- a/crates/front/tests/support/runner.rs
+++ b/crates/front/tests/support/runner.rs
@@ -25,8 +25,8 @@
     connection: Option<Wire>,
 }
 
-struct Session {
-    gateway: Rc<ScriptedGateway>,
+struct Session<const EARLY: bool> {
+    gateway: Rc<ScriptedGateway<EARLY>>,
     address: SocketAddr,
     targets: Vec<Target>,
     client: Option<Wire>,
@@ -38,15 +38,27 @@
 pub(crate) fn run_session(script: &str) -> String {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async {
-        timeout(HANG_LIMIT, transcript(script)).await.expect("the session hangs")
+        let transcript = async {
+            match script.lines().any(|line| line == "run-pipelined-early") {
+                true => transcript::<true>(script).await,
+                false => transcript::<false>(script).await,
+            }
+        };
+        timeout(HANG_LIMIT, transcript).await.expect("the session hangs")
     })
 }
 
-async fn transcript(script: &str) -> String {
-    let client_timeout = script.lines().find_map(|line| line.strip_prefix("timeout-ms "));
-    let client_timeout =
-        Duration::from_millis(client_timeout.map_or(50_000, |ms| ms.parse().unwrap()));
-    let mut session = Session::start(client_timeout).await;
+async fn transcript<const EARLY: bool>(script: &str) -> String {
+    let option = |prefix| script.lines().find_map(|line| line.strip_prefix(prefix));
+    let client_timeout = option("timeout-ms ").map_or(50_000, |ms| ms.parse().unwrap());
+    let client_timeout = Duration::from_millis(client_timeout);
+    let limits = FrontLimits {
+        connections_max: option("connections-max ").map_or(16, |count| count.parse().unwrap()),
+        head_max_bytes: 8_192,
+        head_timeout: client_timeout,
+        body_idle_timeout: client_timeout,
+    };
+    let mut session = Session::<EARLY>::start(limits).await;
     let mut lines = Vec::new();
     for step in script.lines().filter(|line| !line.starts_with("    ")) {
         lines.push(step.to_owned());
@@ -61,8 +73,8 @@
     lines.join("\n") + "\n"
 }
 
-impl Session {
-    async fn start(client_timeout: Duration) -> Self {
+impl<const EARLY: bool> Session<EARLY> {
+    async fn start(limits: FrontLimits) -> Self {
         let mut targets = Vec::new();
         for _ in 0..2 {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -70,12 +82,6 @@
         }
         let addresses = targets.iter().map(|target| target.listener.local_addr().unwrap());
         let gateway = Rc::new(ScriptedGateway::new(addresses.collect()));
-        let limits = FrontLimits {
-            connections_max: 16,
-            head_max_bytes: 8_192,
-            head_timeout: client_timeout,
-            body_idle_timeout: client_timeout,
-        };
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let server = Server::new(Rc::clone(&gateway), limits);
@@ -87,7 +93,7 @@
     async fn step(&mut self, step: &str) -> Vec<String> {
         let (verb, rest) = step.split_once(' ').unwrap_or((step, ""));
         match verb {
-            "" | "#" | "timeout-ms" => Vec::new(),
+            "" | "#" | "timeout-ms" | "connections-max" | "run-pipelined-early" => Vec::new(),
             "client" => self.client(rest).await,
             "t1" => self.targets[0].step(rest).await,
             "t2" => self.targets[1].step(rest).await,
