Do not run bytes behind a request that ends its connection

Bytes behind a request with connection: close were started as a pipelined request and broken off when the connection ended.

Change: the head check accepts no bytes after a request that asks to close the connection, as RFC 9112, section 9.6 demands.

--- a/crates/front/src/head_check.rs
+++ b/crates/front/src/head_check.rs
@@ -29,8 +29,9 @@
     ChunkLine,
     /// The trailer fields of a chunked body.
     Trailers,
-    /// No further bytes are accepted on this connection.
-    Rejected,
+    /// No further bytes are accepted on this connection: a head was rejected, or the client ended the
+    /// connection with its last request.
+    Ended,
 }
 
 /// The part that follows the remaining bytes of a body or chunk.
@@ -51,6 +52,8 @@
     buffer: BytesMut,
     head_max_bytes: usize,
     head_count: u64,
+    /// Whether the request at the current position is the last one of its connection.
+    is_last: bool,
 }
 
 /// A part of the byte stream that passed the check.
@@ -80,7 +83,13 @@
 
 impl HeadCheck {
     pub(crate) fn new(head_max_bytes: usize) -> Self {
-        Self { position: Position::Head, buffer: BytesMut::new(), head_max_bytes, head_count: 0 }
+        Self {
+            position: Position::Head,
+            buffer: BytesMut::new(),
+            head_max_bytes,
+            head_count: 0,
+            is_last: false,
+        }
     }
 
     /// Checks received bytes and appends to `passed` the segments that hyper may parse.
@@ -104,6 +113,10 @@
             return Ok(false);
         }
         match self.position {
+            Position::Head if self.is_last => {
+                self.position = Position::Ended;
+                Ok(true)
+            }
             Position::Head => self.read_head(passed),
             Position::Data(remaining, next) => {
                 let taken = usize::try_from(remaining).unwrap_or(usize::MAX).min(self.buffer.len());
@@ -117,7 +130,7 @@
             }
             Position::ChunkLine => self.read_chunk_line(passed),
             Position::Trailers => self.read_trailers(passed),
-            Position::Rejected => {
+            Position::Ended => {
                 self.buffer.clear();
                 Ok(false)
             }
@@ -138,6 +151,7 @@
                     return Err(self.reject(Reason::BadRequest, AMBIGUOUS));
                 };
                 let head = (position == Position::Head).then(|| convert_head(&request)).flatten();
+                self.is_last = ends_connection(request.headers);
                 passed.push(Segment::Head { bytes: self.buffer.split_to(length), head });
                 self.position = position;
                 self.head_count += 1;
@@ -184,12 +198,12 @@
         // The bytes passed on do not depend on how the network split the input.
         passed.push(Segment::Body(INVALID_CHUNK.into()));
         self.buffer.clear();
-        self.position = Position::Rejected;
+        self.position = Position::Ended;
         false
     }
 
     fn reject(&mut self, reason: Reason, detail: &'static str) -> RejectedHead {
-        self.position = Position::Rejected;
+        self.position = Position::Ended;
         self.buffer.clear();
         RejectedHead { request: self.head_count, reason, detail }
     }
@@ -206,6 +220,15 @@
     Some(Box::new(parts))
 }
 
+/// Returns whether a head asks to close the connection after its response.
+fn ends_connection(fields: &[httparse::Header<'_>]) -> bool {
+    let mut values = fields.iter().filter(|field| field.name.eq_ignore_ascii_case("connection"));
+    values.any(|field| {
+        let mut options = field.value.split(|byte| *byte == b',');
+        options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
+    })
+}
+
 /// Returns the position after the head, or `None` if the body length is ambiguous or malformed.
 fn body_position(fields: &[httparse::Header<'_>]) -> Option<Position> {
     let values = |name: &'static str| {
@@ -282,6 +305,23 @@
         assert_eq!(feed(input.as_bytes(), step), (input.as_bytes().to_vec(), None));
     }
 
+    // Guards against running bytes behind a request that ends its connection: their response could
+    // not be sent.
+    #[rstest]
+    #[case::only("Connection: close", true)]
+    #[case::among_others("connection: te, Close", true)]
+    #[case::other("connection: closed", false)]
+    fn request_that_ends_the_connection_is_the_last(
+        #[case] field: &str,
+        #[case] is_last: bool,
+        #[values(1, 7, 4096)] step: usize,
+    ) {
+        let first = format!("POST /a HTTP/1.1\r\n{field}\r\ncontent-length: 2\r\n\r\nab");
+        let input = format!("{first}GET /b HTTP/1.1\r\n\r\n");
+        let expected = if is_last { &first } else { &input };
+        assert_eq!(feed(input.as_bytes(), step), (expected.as_bytes().to_vec(), None));
+    }
+
     // Guards against unbounded memory use by a head that never ends.
     #[test]
     fn rejects_an_endless_head() {
