Answer rejected requests whose body was forwarded as it arrived

Cause: the plan started another attempt after the rejection without asking whether the body, which can be taken once, was still there. The front end reached unreachable! and the task of the connection panicked.

Change: the plan knows whether an attempt took such a body and gives up as not run. A request that a closed connection returned unsent hands its body back, since the attempt that follows panicked likewise.

--- a/crates/dispatch/src/request_plan.rs
+++ b/crates/dispatch/src/request_plan.rs
@@ -23,6 +23,8 @@
     request: PlanRequest,
     attempts: Attempts<G>,
     may_have_run: bool,
+    /// Whether an attempt took the body, which a request that is not replayable has only once.
+    body_taken: bool,
     head: Option<ResponseHead>,
     hedge_at: Option<Instant>,
     stall_deadline: Option<Instant>,
@@ -37,6 +39,7 @@
             request,
             attempts: Attempts::new(),
             may_have_run: false,
+            body_taken: false,
             head: None,
             hedge_at: None,
             stall_deadline: None,
@@ -172,12 +175,14 @@
     fn on_bytes_sent(&mut self, attempt: AttemptId) {
         if let Some(current) = self.attempts.find(attempt, &[AttemptState::Assigned]) {
             current.state = AttemptState::BytesSent;
+            self.body_taken = true;
         }
     }
 
     fn on_unsent(&mut self, attempt: AttemptId) {
         if let Some(current) = self.attempts.find(attempt, &[AttemptState::BytesSent]) {
             current.state = AttemptState::Assigned;
+            self.body_taken = false;
         }
     }
 
@@ -322,7 +327,8 @@
         if self.attempts.is_any_live() {
             return;
         }
-        let may_resend = self.may_repeat() || !self.may_have_run;
+        let has_body = self.request.replayable || !self.body_taken;
+        let may_resend = has_body && (self.may_repeat() || !self.may_have_run);
         match may_resend && self.allows_another_attempt(now) && budget.spend(now) {
             true => self.choose(out),
             false => self.give_up(failure, out),
--- a/crates/dispatch/tests/plans.rs
+++ b/crates/dispatch/tests/plans.rs
@@ -46,10 +46,14 @@
 
 impl Fixture {
     fn new(idempotent: bool, tokens: u32, settings: PlanSettings) -> Self {
+        Self::with_body(idempotent, true, tokens, settings)
+    }
+
+    fn with_body(idempotent: bool, replayable: bool, tokens: u32, settings: PlanSettings) -> Self {
         let request = PlanRequest {
             id: FIRST,
             idempotent,
-            replayable: true,
+            replayable,
             deadline: at_ms(100),
             hedge_after: Some(Duration::from_millis(20)),
         };
@@ -96,6 +100,30 @@
     Head,
 }
 
+// Guards against another attempt of a request whose body is forwarded as it arrives and was taken by
+// the first attempt: the front end has nothing left to send.
+#[rstest]
+#[case::refused(PlanInput::Head { attempt: FIRST, head: REFUSAL }, false)]
+#[case::misdirected(PlanInput::Head { attempt: FIRST, head: MISDIRECTED }, false)]
+#[case::unsent(PlanInput::Unsent { attempt: FIRST }, true)]
+fn a_body_that_was_taken_is_not_sent_again(
+    #[case] input: PlanInput<Rc<()>>,
+    #[case] retried: bool,
+    #[values(false, true)] idempotent: bool,
+) {
+    let settings = PlanSettings {
+        trusts_refusals: true,
+        trusts_misdirected: true,
+        retries_refused: true,
+        ..PlanSettings::default()
+    };
+    let mut fixture = Fixture::with_body(idempotent, false, 5, settings);
+    fixture.send(0, FIRST, 1).on(5, input);
+    assert_eq!(fixture.has(&PlanOutput::Choose { attempt: SECOND }), retried);
+    let outcome = fixture.verdict().map(|verdict| verdict.outcome);
+    assert_eq!(outcome, (!retried).then_some(Outcome::NotRun));
+}
+
 /// Guards against an outcome that is more certain than the events allow, and against another
 /// attempt after bytes of a non-idempotent request were sent.
 #[rstest]
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -57,8 +57,8 @@
 pub(crate) enum SendResult<P> {
     /// A response to this request was received, at least its head.
     Head(ResponseHead, Box<Response<TargetBody>>, Connection<P>),
-    /// The connection was closed before any byte of the request was written.
-    Unsent,
+    /// The connection was closed before any byte of the request was written; returns its body.
+    Unsent(RequestBody),
     /// The connection failed, or the response does not belong to this request.
     Lost,
 }
@@ -74,7 +74,7 @@
         Ok(response) => response,
         Err(mut error) => {
             return match error.take_message() {
-                Some(_) => SendResult::Unsent,
+                Some(request) => SendResult::Unsent(request.into_body()),
                 None => SendResult::Lost,
             };
         }
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -178,7 +178,14 @@
                 body
             }
             Some(CollectedBody::Partial(streamed)) => RequestBody::Streamed(streamed),
-            None => unreachable!("a streamed body is sent only once"),
+            None => unreachable!("the plan sends a streamed body only once"),
+        }
+    }
+
+    /// Keeps the body of a request that was not sent for the next attempt.
+    fn take_back(&mut self, body: RequestBody) {
+        if let RequestBody::Streamed(streamed) = body {
+            self.body = Some(CollectedBody::Partial(streamed));
         }
     }
 
@@ -219,7 +226,10 @@
             }
             (_, Some(ClientFault::Disconnected)) => self.tracked.handle(PlanInput::ClientGone),
             (_, Some(ClientFault::Stalled)) => self.tracked.handle(PlanInput::ClientStalled),
-            (SendResult::Unsent, None) => self.tracked.handle(PlanInput::Unsent { attempt }),
+            (SendResult::Unsent(body), None) => {
+                self.take_back(body);
+                self.tracked.handle(PlanInput::Unsent { attempt })
+            }
             (SendResult::Lost, None) => self.tracked.handle(PlanInput::Lost { attempt }),
         }
     }
--- a/crates/front/tests/support/gateway.rs
+++ b/crates/front/tests/support/gateway.rs
@@ -118,6 +118,7 @@
             plan: PlanSettings {
                 trusts_refusals: true,
                 trusts_misdirected: true,
+                retries_refused: head.path == "/retries-refused",
                 ..PlanSettings::default()
             },
             hedge_after: None,
