Limit the memory of responses that are read before they are forwarded

Operators of a similar system reported a machine that ran out of memory because an instance sent without end, so that requests of other clients ended with it.

Cause: a response is read up to 1 MiB before it is forwarded, for each request by itself, and nothing limited their sum. Endless heads and bodies that belong to no request were bounded before.

Change: the buffered bytes of all responses are counted, 32 MiB at most; a guard releases them. A response that gets no more memory is forwarded as it arrives.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Connects to a target and sends one attempt.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use http::{Request, Response};
 use tokio::time::sleep;
@@ -11,6 +12,7 @@
 use crate::dialect::Dialect;
 use crate::gateway::{Call, Gateway};
 use crate::pool::{self, Connection, SharedPool};
+use crate::response_buffers::{BufferReservation, ResponseBuffers};
 use crate::target_body::TargetBody;
 
 /// The target of an attempt and its address.
@@ -69,6 +71,7 @@
     call: &Call,
     mut connection: Connection<G::ConnectionPermit>,
     request: Request<RequestBody>,
+    buffers: &Rc<ResponseBuffers>,
 ) -> SendResult<G::ConnectionPermit> {
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
@@ -85,9 +88,10 @@
     let head = gateway.dialect().response_head(call, parts.status, &parts.headers, used);
     // A body that does not belong to this request may never end, so it is not read.
     let Some(head) = head else { return SendResult::Lost };
+    let reservation = BufferReservation::new(buffers);
     let body = match head.not_run {
-        true => Some(TargetBody::read_refusal(body).await),
-        false => TargetBody::read(body, G::Dialect::RESPONSE_BUFFER_MAX_BYTES).await,
+        true => Some(TargetBody::read_refusal(body, reservation).await),
+        false => TargetBody::read(body, G::Dialect::RESPONSE_BUFFER_MAX_BYTES, reservation).await,
     };
     match body {
         Some(body) => {
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -19,6 +19,7 @@
 use crate::pool::{Connection, SharedPool};
 use crate::refusal::Refusal;
 use crate::response_body::{PooledConnection, ResponseBody};
+use crate::response_buffers::ResponseBuffers;
 use crate::target_body::TargetBody;
 use crate::target_request::TargetRequest;
 use crate::tracked_plan::TrackedPlan;
@@ -61,6 +62,7 @@
 /// One client request and the I/O of its attempts.
 pub(crate) struct Exchange<G: Gateway> {
     pool: SharedPool<G::ConnectionPermit>,
+    buffers: Rc<ResponseBuffers>,
     request: TargetRequest,
     body: Option<CollectedBody>,
     fault: FaultCell,
@@ -76,19 +78,20 @@
     pub(crate) fn new(
         gateway: Rc<G>,
         pool: SharedPool<G::ConnectionPermit>,
+        buffers: Rc<ResponseBuffers>,
         admitted: AdmittedRequest<G>,
     ) -> Self {
         let AdmittedRequest { call, fingerprint, request, body, fault, credit } = admitted;
         let replayable = matches!(body, CollectedBody::Complete(_));
         let tracked = TrackedPlan::new(gateway, call, fingerprint, replayable);
         let (credit, body) = (Some(credit), Some(body));
-        Self { pool, request, body, fault, credit, attempts: Vec::new(), tracked }
+        Self { pool, buffers, request, body, fault, credit, attempts: Vec::new(), tracked }
     }
 
     /// Runs attempts until a response head can be forwarded or the request has failed.
     pub(crate) async fn run(mut self) -> ExchangeResult<G> {
         let gateway = Rc::clone(&self.tracked.gateway);
-        let pool = Rc::clone(&self.pool);
+        let (pool, buffers) = (Rc::clone(&self.pool), Rc::clone(&self.buffers));
         let mut steps = FuturesUnordered::new();
         let mut outputs = self.tracked.start();
         loop {
@@ -101,7 +104,13 @@
                 let (handle, registration) = AbortHandle::new_pair();
                 self.set_abort_handle(attempt, handle);
                 let call = Rc::clone(&self.tracked.call);
-                let step = run_step(Rc::clone(&gateway), Rc::clone(&pool), call, step);
+                let step = run_step(
+                    Rc::clone(&gateway),
+                    Rc::clone(&pool),
+                    Rc::clone(&buffers),
+                    call,
+                    step,
+                );
                 steps.push(Abortable::new(step, registration));
             }
             outputs = match steps.next().await {
@@ -330,6 +339,7 @@
 async fn run_step<G: Gateway>(
     gateway: Rc<G>,
     pool: SharedPool<G::ConnectionPermit>,
+    buffers: Rc<ResponseBuffers>,
     call: Rc<Call>,
     step: Step<G::ConnectionPermit>,
 ) -> Event<G> {
@@ -341,7 +351,8 @@
             Event::Connected(attempt, attempt::connect(&*gateway, &pool, &call, &destination).await)
         }
         Step::Send(attempt, connection, request) => {
-            Event::Sent(attempt, attempt::send(&*gateway, &call, connection, *request).await)
+            let sent = attempt::send(&*gateway, &call, connection, *request, &buffers).await;
+            Event::Sent(attempt, sent)
         }
         Step::Timer(at) => {
             sleep(at.saturating_since(gateway.now())).await;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod refusal;
 mod response_body;
+mod response_buffers;
 mod server;
 mod target_body;
 mod target_request;
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -28,6 +28,7 @@
 use crate::pool::SharedPool;
 use crate::refusal::Refusal;
 use crate::response_body::ResponseBody;
+use crate::response_buffers::ResponseBuffers;
 use crate::target_request::TargetRequest;
 
 /// Interval at which idle connections to targets are checked for closing.
@@ -54,6 +55,7 @@
     gateway: Rc<G>,
     limits: FrontLimits,
     pool: SharedPool<G::ConnectionPermit>,
+    buffers: Rc<ResponseBuffers>,
     connections: Rc<Cell<u32>>,
     connection_closed: Rc<Notify>,
 }
@@ -64,6 +66,7 @@
             gateway: Rc::clone(&self.gateway),
             limits: self.limits.clone(),
             pool: Rc::clone(&self.pool),
+            buffers: Rc::clone(&self.buffers),
             connections: Rc::clone(&self.connections),
             connection_closed: Rc::clone(&self.connection_closed),
         }
@@ -90,6 +93,7 @@
             gateway,
             limits,
             pool: SharedPool::default(),
+            buffers: Rc::default(),
             connections: Rc::default(),
             connection_closed: Rc::default(),
         }
@@ -270,7 +274,7 @@
         let (gateway, pool) = (Rc::clone(&self.gateway), Rc::clone(&self.pool));
         let call = Rc::clone(&call);
         let admitted = AdmittedRequest { call, fingerprint, request, body, fault, credit };
-        Exchange::new(gateway, pool, admitted).run().await
+        Exchange::new(gateway, pool, Rc::clone(&self.buffers), admitted).run().await
     }
 }
 
