--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -113,3 +113,9 @@
     RowVersion,
     "row version"
 );
+counter!(
+    /// Number of times that the store was restored from an older copy. Row versions of different
+    /// eras cannot be compared.
+    StoreEra,
+    "store era"
+);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod parse_error;
 mod reason;
 mod sorted_vec;
+mod store_time;
 mod units;
 
 pub use clock::{Clock, MonotonicClock};
@@ -24,7 +25,7 @@
 };
 pub use ids::{
     ConfigVersion, Epoch, Generation, GrantId, Incarnation, RowVersion, SegmentId, ShardKey,
-    SlotId, WriteId,
+    SlotId, StoreEra, WriteId,
 };
 pub use instant::Instant;
 pub use key_digest::KeyDigest;
@@ -34,4 +35,5 @@
 pub use parse_error::ParseError;
 pub use reason::Reason;
 pub use sorted_vec::SortedVec;
+pub use store_time::StoreTime;
 pub use units::{ByteCount, PartsPerMillion, Requests, RequestsPerSecond, Weight};
--- a/crates/store/src/json_client.rs
+++ b/crates/store/src/json_client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -31,6 +31,8 @@
 pub struct JsonResponse {
     /// Any HTTP status; an error status is not an `Err` of the client.
     pub status: StatusCode,
+    /// The header fields.
+    pub headers: HeaderMap,
     /// The body as it was received, JSON or not.
     pub body: Bytes,
 }
@@ -124,11 +126,12 @@
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<JsonResponse, String> {
         let response = self.client.request(request).await.map_err(|error| error.to_string())?;
         let status = response.status();
+        let headers = response.headers().clone();
         let body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES)
             .collect()
             .await
             .map_err(|error| error.to_string())?
             .to_bytes();
-        Ok(JsonResponse { status, body })
+        Ok(JsonResponse { status, headers, body })
     }
 }
