Count an unanswered renewal of an owner that is unlisted

Cause: the outcome of a grant was ignored for a range that is vacant because its owner is missing from the registry. If the owner was listed again and the next grant was not delivered, the range fell back to the expiry before the unanswered renewal and went to another target, while that renewal could still be applied (OWNER). Change: an outcome updates the confirmed expiry in every state.

--- a/crates/ranges/src/range_assigner.rs
+++ b/crates/ranges/src/range_assigner.rs
@@ -211,6 +211,15 @@
                 continue;
             }
             entry.in_flight = false;
+            // Also for a range that is vacant at present: its owner may be listed again, and a later
+            // grant that is not delivered then falls back to this expiry.
+            match outcome {
+                GrantOutcome::Held => {
+                    entry.confirmed_expires = entry.confirmed_expires.max(now + validity_max);
+                }
+                GrantOutcome::Unknown => entry.confirmed_expires = entry.expires,
+                _ => {}
+            }
             let RangeState::Granted { renew_at } = &mut entry.state else { continue };
             match outcome {
                 // The owner has exited, and the last grant that could have reached its successor
@@ -220,14 +229,10 @@
                 }
                 GrantOutcome::Held => {
                     *renew_at = sent_at + renew;
-                    entry.confirmed_expires = entry.confirmed_expires.max(now + validity_max);
                     entry.expires = entry.confirmed_expires;
                     entry.handover = None;
                 }
-                GrantOutcome::Unknown => {
-                    *renew_at = now + retry;
-                    entry.confirmed_expires = entry.expires;
-                }
+                GrantOutcome::Unknown => *renew_at = now + retry,
                 // The target no longer owns the keys, so they may go to one that can be reached.
                 GrantOutcome::NotDelivered | GrantOutcome::Refused
                     if now >= entry.confirmed_expires =>
