Count the lease of a previous leader from its last seen renewal

Cause: a process that claims the lease waited 4.1 s from the claim before it moved keys, and then a whole validity of a grant for the keys of lost targets. The leader before can act for 4.1 s at most from when its row was last seen to change, and nobody renews a grant after that. Change: both waits count from the row's last change. An assigner that is restarted under the same authority still counts from now, because this process may have renewed grants itself.

--- a/crates/ranges/src/range_assigner.rs
+++ b/crates/ranges/src/range_assigner.rs
@@ -74,16 +74,39 @@
 }
 
 impl RangeAssigner {
-    /// Continues from the stored table. `None` means that no table was ever stored.
+    /// Continues from the stored table, whose grants this process or another one may have renewed
+    /// until now. `None` means that no table was ever stored.
     pub fn new(
         now: Instant,
         settings: AssignerSettings,
         authority: Authority,
         stored: Option<&AssignmentTable>,
     ) -> Self {
-        // The previous leader may have renewed any of these grants until the end of its authority.
-        let last_arrival = authority.sole_from.max(now) + settings.call_timeout;
-        let expires = last_arrival + settings.grant_validity_max();
+        let last_renewal = authority.sole_from.max(now);
+        Self::with_last_renewal(now, settings, authority, last_renewal, stored)
+    }
+
+    /// Continues from the stored table in a process that has sent no grants of this back end under
+    /// its current authority. Its predecessors may have renewed grants until the end of their own
+    /// authority, which may have passed.
+    pub fn first_under(
+        now: Instant,
+        settings: AssignerSettings,
+        authority: Authority,
+        stored: Option<&AssignmentTable>,
+    ) -> Self {
+        Self::with_last_renewal(now, settings, authority, authority.sole_from, stored)
+    }
+
+    /// Continues from the stored table, whose grants were sent at `last_renewal` at the latest.
+    fn with_last_renewal(
+        now: Instant,
+        settings: AssignerSettings,
+        authority: Authority,
+        last_renewal: Instant,
+        stored: Option<&AssignmentTable>,
+    ) -> Self {
+        let expires = last_renewal + settings.call_timeout + settings.grant_validity_max();
         let ranges = match stored {
             Some(table) => RangeList::from_table(now, expires, table),
             None => RangeList::unassigned(now),
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -46,6 +46,10 @@
     ContinuesAfterConflict,
 }
 
+/// Constructor of an assigner that continues from a stored table.
+type StartAssigner =
+    fn(Instant, AssignerSettings, Authority, Option<&AssignmentTable>) -> RangeAssigner;
+
 /// A call that executes a command.
 #[derive(Clone, Debug)]
 struct PendingCall {
@@ -245,15 +249,15 @@
     /// Makes a process the leader. The previous leader may act until its lease expires.
     fn take_over(&mut self, index: usize) {
         let now = self.now;
-        let others = self.leaders.iter().enumerate().filter(|(other, _)| *other != index);
-        let other_until = others.map(|(_, leader)| leader.authority.until).max();
+        // The last authority of any process, this one included, may have ended long ago.
+        let previous_until = self.leaders.iter().map(|leader| leader.authority.until).max();
         let sole_from = match self.injected_bug {
-            InjectedBug::IgnoresPreviousLeader => now,
-            _ => other_until.unwrap_or(now).max(now),
+            InjectedBug::IgnoresPreviousLeader => now - LEASE,
+            _ => previous_until.unwrap_or(now),
         };
         self.leaders[index].authority = Authority { until: now + LEASE, sole_from };
         self.leader_row = index;
-        self.start_assigner(index);
+        self.start_assigner(index, RangeAssigner::first_under);
     }
 
     /// Restarts an assigner that was stopped by a write conflict, if the leader row still names
@@ -262,17 +266,16 @@
         let is_named =
             self.leader_row == index || self.injected_bug == InjectedBug::ContinuesAfterConflict;
         match self.leaders[index].assigner {
-            None if self.store_up() && is_named => self.start_assigner(index),
+            None if self.store_up() && is_named => self.start_assigner(index, RangeAssigner::new),
             None if self.store_up() => self.leaders[index].authority.until = self.now,
             _ => {}
         }
     }
 
     /// Starts an assigner from the stored table, as the router does.
-    fn start_assigner(&mut self, index: usize) {
+    fn start_assigner(&mut self, index: usize, start: StartAssigner) {
         let authority = self.leaders[index].authority;
-        let assigner =
-            RangeAssigner::new(self.now, self.settings(), authority, self.table.as_ref());
+        let assigner = start(self.now, self.settings(), authority, self.table.as_ref());
         // The router first rewrites the table, so that writes of a previous leader conflict.
         if self.injected_bug != InjectedBug::SkipsTableRewrite {
             self.version += 1;
--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -107,7 +107,10 @@
         }
     };
     let settings = AssignerSettings::default();
-    let assigner = RangeAssigner::new(now, settings, authority, stored.as_ref());
+    let assigner = match state.granters.has_started(back_end, term) {
+        true => RangeAssigner::new(now, settings, authority, stored.as_ref()),
+        false => RangeAssigner::first_under(now, settings, authority, stored.as_ref()),
+    };
     state.granters.start(back_end.clone(), term, assigner, version);
     if let Some(table) = stored {
         state.tables.insert(back_end.clone(), table);
--- a/crates/router/src/granters.rs
+++ b/crates/router/src/granters.rs
@@ -11,6 +11,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Granters {
     granters: SortedVec<BackEndId, Granter>,
+    /// The last term in which a granter of each back end was started.
+    started_in: SortedVec<BackEndId, Generation>,
     started: u64,
 }
 
@@ -25,9 +27,16 @@
     ) {
         self.started += 1;
         let id = GranterId(self.started);
+        self.started_in.insert(back_end.clone(), generation);
         self.granters.insert(back_end, Granter { id, generation, assigner, row_version });
     }
 
+    /// Returns whether this process has started a granter of a back end in a term, and may have sent
+    /// grants in it.
+    pub(crate) fn has_started(&self, back_end: &BackEndId, generation: Generation) -> bool {
+        self.started_in.get(back_end) == Some(&generation)
+    }
+
     /// Removes the granters of other terms.
     pub(crate) fn retain_term(&mut self, generation: Generation) {
         self.granters.retain(|_, granter| granter.generation == generation);
--- a/crates/router/src/leader_lease.rs
+++ b/crates/router/src/leader_lease.rs
@@ -80,6 +80,9 @@
     last_read: Option<Instant>,
     in_flight: bool,
     write_sent_at: Instant,
+    /// Instant from which no earlier leader acts if the claim in flight takes effect; `None` unless
+    /// the write in flight is a claim.
+    claimed_sole_from: Option<Instant>,
     renewed_at: Instant,
     /// Version of the row under which the leader that it names reported that it does not act.
     lapsed: Option<RowVersion>,
@@ -111,6 +114,7 @@
             last_read: None,
             in_flight: false,
             write_sent_at: Instant::default(),
+            claimed_sole_from: None,
             renewed_at: Instant::default(),
             lapsed: None,
             authority: Authority::default(),
@@ -239,6 +243,7 @@
     /// Handles an operation without an answer from the store.
     pub fn on_failed(&mut self) {
         self.in_flight = false;
+        self.claimed_sole_from = None;
     }
 
     /// Handles the result of a write: the version of the row, or `None` if another write came
@@ -247,13 +252,14 @@
         self.in_flight = false;
         let Some(version) = version else {
             self.leads = false;
+            self.claimed_sole_from = None;
             self.last_read = None;
             return;
         };
         self.observed = Some((row.clone(), version));
         self.own_version = version;
-        if !self.leads {
-            self.authority.sole_from = now + Duration::from_millis(row.sole_in_ms);
+        if let Some(sole_from) = self.claimed_sole_from.take() {
+            self.authority.sole_from = sole_from;
         }
         self.observed_at = now;
         self.renewed_at = self.write_sent_at;
@@ -292,15 +298,21 @@
         millis(self.authority.sole_from.saturating_since(now))
     }
 
-    /// Returns for how long the leader of a row, or an earlier leader, may act once the row is
-    /// replaced, in milliseconds.
-    fn takeover_wait_ms(&self, row: &LeaderRow, version: RowVersion) -> u64 {
-        // The leader resigned, was a previous incarnation of this node, or could act again only
-        // after a write, which would make the write that replaces this version fail.
-        let stopped = row.resigned || row.node == self.own.node || self.is_lapsed(version);
-        match stopped {
-            true => row.sole_in_ms,
-            false => row.sole_in_ms.max(millis(LEASE_DURATION + DRIFT_MARGIN)),
+    /// Returns the instant from which neither the leader of a row nor an earlier one acts, if the
+    /// write that replaces this version of the row takes effect. It may have passed.
+    ///
+    /// All times of the row are counted from when this process first saw the version: the row was
+    /// written no later than that, and the leader's lease is counted from before the write.
+    fn sole_from_on_takeover(&self, now: Instant, row: &LeaderRow, version: RowVersion) -> Instant {
+        let earlier_end = self.observed_at + Duration::from_millis(row.sole_in_ms);
+        // A previous incarnation of this node, or a leader that could act again only after a write,
+        // which would make the write that replaces this version fail. Either may have acted until
+        // now.
+        let stopped = row.node == self.own.node || self.is_lapsed(version);
+        match (row.resigned, stopped) {
+            (true, _) => earlier_end,
+            (false, true) => earlier_end.max(now),
+            (false, false) => earlier_end.max(self.observed_at + LEASE_DURATION + DRIFT_MARGIN),
         }
     }
 
@@ -332,20 +344,21 @@
     /// Returns the write that replaces the newest known row, or creates the row.
     fn claim(&mut self, now: Instant) -> LeaseAction {
         self.last_read = Some(now);
-        let (generation, sole_in_ms, expected) = match &self.observed {
+        let (generation, sole_from, expected) = match &self.observed {
             Some((row, version)) => {
-                (row.generation, self.takeover_wait_ms(row, *version), *version)
+                (row.generation, self.sole_from_on_takeover(now, row, *version), *version)
             }
-            None => (Generation::default(), 0, RowVersion::default()),
+            None => (Generation::default(), now, RowVersion::default()),
         };
         let row = LeaderRow {
             generation: generation.next(),
             renewals: 0,
             resigned: false,
             nodes: self.nodes(),
-            sole_in_ms,
+            sole_in_ms: millis(sole_from.saturating_since(now)),
             ..self.own.clone()
         };
+        self.claimed_sole_from = Some(sole_from);
         self.write(now, row, expected)
     }
 
--- a/crates/router/tests/leader_lease.rs
+++ b/crates/router/tests/leader_lease.rs
@@ -70,6 +70,23 @@
     assert!(first.authority(now).is_none() || now < until);
 }
 
+// Guards against keys of lost targets that wait for a lease that ended before the store came back:
+// the wait counted from the claim, 4.1 s after an outage that had outlasted the lease.
+#[test]
+fn a_new_leader_does_not_wait_for_a_lease_that_has_ended() {
+    let (mut now, mut row) = (Instant::from_us(1_000_000), FakeRow::default());
+    let (mut first, mut second) = (lease("n1", 1), lease("n2", 1));
+    run(&mut now, &mut first, &mut row, Duration::from_secs(3));
+    let until = first.authority(now).expect("the first process leads").until;
+    second.on_read(now, row.read());
+    // The store is unreachable for longer than the lease.
+    now = now + Duration::from_secs(6);
+    run(&mut now, &mut second, &mut row, Duration::from_millis(1_200));
+    let authority = second.authority(now).expect("the abandoned row was replaced");
+    assert!(authority.may_move(now));
+    assert!(authority.sole_from >= until, "grants may have been renewed until then");
+}
+
 // Guards against a new leader that waits although its predecessor resigned.
 #[test]
 fn a_resigned_leader_is_replaced_at_once() {
