Count the bytes between zones by kind

Cause: bytes between zones are the dearest price on some sites, and nothing told which messages they belong to. Change: connections to targets and nodes are metered by kind and zone, on the metrics page and in the event zone-bytes; reports and rows use connections of their own.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -39,7 +39,9 @@
         None => {
             let permit = gateway.connection_permit(call, &destination.target).await?;
             let single_use = call.fresh_connection;
-            let connection = pool::open(destination.address, Some(permit), single_use).await?;
+            let meter = gateway.traffic_meter(call, &destination.target);
+            let connection =
+                pool::open(destination.address, Some(permit), single_use, meter).await?;
             check_new_connection::<G>(connection).await
         }
     }
--- a/crates/front/src/gateway.rs
+++ b/crates/front/src/gateway.rs
@@ -12,6 +12,7 @@
 use wagtailmoor_dispatch::{
     AttemptId, CrashLedger, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
 };
+use wagtailmoor_telemetry::TrafficMeter;
 
 use crate::Refusal;
 use crate::dialect::Dialect;
@@ -180,6 +181,11 @@
         target: &TargetId,
     ) -> impl Future<Output = Option<Self::ConnectionPermit>>;
 
+    /// Returns the meter that counts the bytes of a new connection to a target.
+    fn traffic_meter(&self, _call: &Call, _target: &TargetId) -> TrafficMeter {
+        TrafficMeter::default()
+    }
+
     /// Returns the budget that the retries and hedges of a request draw on.
     fn budget(&self, call: &Call) -> Self::Budget;
 
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -13,6 +13,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 use wagtailmoor_core::SortedVec;
+use wagtailmoor_telemetry::{MeteredStream, TrafficMeter};
 
 use crate::body::RequestBody;
 use crate::headers;
@@ -131,6 +132,7 @@
     target: SocketAddr,
     permit: Option<P>,
     single_use: bool,
+    meter: TrafficMeter,
 ) -> Option<Connection<P>> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
@@ -139,7 +141,8 @@
     SockRef::from(&stream).set_linger(Some(Duration::ZERO)).ok()?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(HEAD_MAX_BYTES);
-    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+    let (sender, connection) =
+        builder.handshake(TokioIo::new(MeteredStream::new(stream, meter))).await.ok()?;
     let task = spawn_local(async move {
         // Errors are returned to the exchange through the sender.
         drop(connection.await);
--- a/crates/router/src/change_source.rs
+++ b/crates/router/src/change_source.rs
@@ -120,6 +120,11 @@
         self.nodes.len()
     }
 
+    /// Returns the zone of a node; `None` if the node is unknown.
+    pub(crate) fn zone_of(&self, peer: SocketAddr) -> Option<&ZoneId> {
+        self.nodes.iter().find(|node| node.address == peer).map(|node| &node.zone)
+    }
+
     /// Returns the age of this node's copy of the store.
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_since(self.synced_to)
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -13,13 +13,14 @@
 };
 use wagtailmoor_front::{AssignedTarget, Call, Dialect, Gateway, Refusal, RequestHead};
 use wagtailmoor_site::{RouteRule, SiteConfig};
-use wagtailmoor_telemetry::Event;
+use wagtailmoor_telemetry::{Event, TrafficMeter};
 
 use crate::log_lines;
 use crate::split::Split;
 use crate::state::{RouterState, Shared};
 use crate::stats::RequestLabels;
 use crate::target_choice;
+use crate::zone_traffic::TrafficKind;
 
 /// A key without an owner most likely has one after this time.
 const OWNER_RETRY_AFTER: Duration = Duration::from_millis(350);
@@ -230,6 +231,19 @@
         Some(())
     }
 
+    fn traffic_meter(&self, call: &Call, target: &TargetId) -> TrafficMeter {
+        let mut state = self.shared.write();
+        let RouterState { registry, traffic, .. } = &mut *state;
+        let kind = match call.shard_key {
+            Some(_) => TrafficKind::Keyed,
+            None => TrafficKind::Pooled,
+        };
+        match registry.get(target) {
+            Some(known) => traffic.meter(kind, &known.zone),
+            None => TrafficMeter::default(),
+        }
+    }
+
     fn budget(&self, call: &Call) -> BackEndBudget {
         BackEndBudget { shared: Rc::clone(&self.shared), back_end: call.back_end.clone() }
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -34,6 +34,7 @@
 mod stats;
 mod target_choice;
 mod target_control;
+mod zone_traffic;
 
 pub use boot_clock::BootClock;
 pub use change_source::ChangeSource;
--- a/crates/router/src/metrics_page.rs
+++ b/crates/router/src/metrics_page.rs
@@ -27,6 +27,12 @@
     for (name, count) in state.stats.counters() {
         write_line(&mut page, "wagtailmoor_events_total", &format!("event=\"{name}\""), *count);
     }
+    for (kind, zone, meter) in state.traffic.iter() {
+        for (direction, bytes) in [("sent", meter.sent()), ("received", meter.received())] {
+            let labels = format!("kind=\"{kind}\",to_zone=\"{zone}\",direction=\"{direction}\"");
+            write_line(&mut page, "wagtailmoor_zone_bytes_total", &labels, bytes.get());
+        }
+    }
     let dropped = wagtailmoor_telemetry::dropped_lines();
     write_line(&mut page, "wagtailmoor_log_lines_dropped_total", "", dropped);
     let version = state.config.as_ref().map_or(0, |config| config.version().get());
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -24,7 +24,7 @@
 use crate::site_decoder::SiteDecoder;
 use crate::state::{Shared, SharedState};
 use crate::target_control::TargetControl;
-use crate::{grant_loop, report_loop, row_source};
+use crate::{grant_loop, report_loop, row_source, zone_traffic};
 
 /// A stopping node still accepts connections for this long. The platform checks readiness every
 /// second and stops sending connections after two failed checks.
@@ -114,7 +114,7 @@
         let (store, decoder) = (Rc::clone(&store), Rc::clone(&decoder));
         spawn_local(feeds::follow(Rc::clone(&shared), store, decoder, table));
     }
-    let link = PeerLink::default();
+    let link = PeerLink::new(Rc::clone(&shared));
     spawn_local(leader_loop::run(Rc::clone(&shared), Rc::clone(&store)));
     spawn_local(grant_loop::run(Rc::clone(&shared), Rc::clone(&store), Rc::new(control)));
     spawn_local(report_loop::report(Rc::clone(&shared), link.clone()));
@@ -122,6 +122,7 @@
     spawn_local(row_source::run(Rc::clone(&shared), link, decoder));
     spawn_local(ready_page::serve(Rc::clone(&shared), ready, Page::Ready));
     spawn_local(ready_page::serve(Rc::clone(&shared), metrics, Page::Metrics));
+    spawn_local(zone_traffic::log(Rc::clone(&shared)));
     let gateway = Rc::new(RouterGateway::new(Rc::clone(&shared), dialect));
     let server = Server::new(gateway, limits);
     let (stop, stopped) = watch::channel(false);
@@ -156,6 +157,9 @@
         let resign = leader_loop::resign(&self.shared, &*self.table);
         let stopped = timeout(grace, async { tokio::join!(resign, drain) });
         let drained = stopped.await.is_ok();
+        let settings = &self.shared.settings;
+        let events = self.shared.read().traffic.events(&settings.zone);
+        events.into_iter().for_each(Event::info);
         Event::new("stopped").field("whole", drained).info();
     }
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -30,6 +30,7 @@
 use crate::row_cache::RowCache;
 use crate::split::LocalShare;
 use crate::stats::Stats;
+use crate::zone_traffic::ZoneTraffic;
 
 /// Distinct losses of targets after which a request is refused as one that crashes targets.
 const LOSSES_TO_REFUSE: usize = 2;
@@ -108,6 +109,7 @@
     pub(crate) shutdown_deadline: Option<Instant>,
     pub(crate) random: SmallRng,
     pub(crate) stats: Stats,
+    pub(crate) traffic: ZoneTraffic,
 }
 
 /// The state of a process, its settings, and the notifications that wake its loops.
@@ -180,6 +182,7 @@
             shutdown_deadline: None,
             random: SmallRng::seed_from_u64(seed),
             stats: Stats::default(),
+            traffic: ZoneTraffic::default(),
         };
         Rc::new(Self {
             settings,
