Roll out ordered versions of pooled targets, with automatic rollback

Operators can order a back end to move to another version of its targets (op/rollout/SERVICE). The leader moves it in phases and writes the result to status/rollout/SERVICE; hosts send a share of the requests to the new version and report its answers. The part is off without the bound exposureShare. The store client gets rows without a write id, which operators read, and the front end reports the status of an answer.

--- a/crates/front/src/gateway.rs
+++ b/crates/front/src/gateway.rs
@@ -204,6 +204,9 @@
         elapsed: Duration,
     );
 
+    /// Called when a target answered an attempt, with the status of the answer.
+    fn on_answered(&self, _call: &Call, _target: &TargetId, _elapsed: Duration, _status: u16) {}
+
     /// Called with the load report in a target's response.
     fn on_load_report(&self, target: &TargetId, load: <Self::Dialect as Dialect>::Load);
 
--- a/crates/front/src/tracked_plan.rs
+++ b/crates/front/src/tracked_plan.rs
@@ -47,25 +47,37 @@
     /// Passes an input to the plan and reports its outputs to the gateway.
     pub(crate) fn handle(&mut self, input: PlanInput<G::Guard>) -> Vec<PlanOutput> {
         let now = self.gateway.now();
+        let status = match &input {
+            PlanInput::Head { head, .. } => Some(head.status),
+            _ => None,
+        };
         let outputs = self.plan.handle(now, input, &mut self.budget);
-        self.notify_gateway(&outputs);
+        self.notify_gateway(&outputs, status);
         outputs
     }
 
     pub(crate) fn start(&mut self) -> Vec<PlanOutput> {
         let now = self.gateway.now();
         let outputs = self.plan.start(now, &mut self.budget);
-        self.notify_gateway(&outputs);
+        self.notify_gateway(&outputs, None);
         outputs
     }
 
-    fn notify_gateway(&mut self, outputs: &[PlanOutput]) {
+    /// Reports outputs to the gateway. `status` is that of the response head that led to them.
+    fn notify_gateway(&mut self, outputs: &[PlanOutput], status: Option<u16>) {
         for output in outputs {
             match output {
                 PlanOutput::Observe { target, observation } => {
                     self.gateway.observe(&self.call, target, observation);
-                    if let Observation::Cancelled { elapsed } = observation {
-                        self.gateway.on_unanswered(&self.call, self.fingerprint, target, *elapsed);
+                    match (observation, status) {
+                        (Observation::Cancelled { elapsed }, _) => {
+                            let (call, fingerprint) = (&self.call, self.fingerprint);
+                            self.gateway.on_unanswered(call, fingerprint, target, *elapsed);
+                        }
+                        (Observation::Answered { elapsed, .. }, Some(status)) => {
+                            self.gateway.on_answered(&self.call, target, *elapsed, status);
+                        }
+                        _ => {}
                     }
                 }
                 PlanOutput::Lost { target, assigned_at } => {
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -9,12 +9,14 @@
 use wagtailmoor_admission::ReportTiming;
 use wagtailmoor_core::{BackEndId, RowVersion};
 use wagtailmoor_ranges::AssignmentTable;
+use wagtailmoor_rollout::RolloutRow;
 use wagtailmoor_site::RegistryChange;
 use wagtailmoor_store::{ChangeFeed, CompressedPage, FeedError, FeedPage, FeedRow, StoredRow};
 use wagtailmoor_telemetry::Event;
 
+use crate::rollouts::{self, ROW_PREFIX};
 use crate::site_decoder::{OperatorChange, SiteDecoder};
-use crate::state::Shared;
+use crate::state::{RouterState, Shared};
 use crate::stats::Stats;
 
 /// Table in which the leader stores the owners of ranges.
@@ -268,6 +270,13 @@
             state.registry.disabled_zones_mut().enable(&zone);
             Event::new("zone-back").field("zone", zone).field("row_version", row.version).info();
         }
+        Ok(OperatorChange::RolloutOrdered(order)) => {
+            let back_end = order.back_end.clone();
+            rollouts::set_order(&mut state, &back_end, Some(order));
+        }
+        Ok(OperatorChange::RolloutWithdrawn(back_end)) => {
+            rollouts::set_order(&mut state, &back_end, None);
+        }
         Err(unusable) => log_unusable(&mut state.stats, row, &unusable.cause),
     }
 }
@@ -315,6 +324,9 @@
 
 fn apply_ranges(shared: &Shared, row: &FeedRow) {
     let mut state = shared.write();
+    if let Some(back_end) = row.key.strip_prefix(ROW_PREFIX) {
+        return apply_rollout(&mut state, row, back_end);
+    }
     let Some(content) = &row.content else { return };
     let decoded = StoredRow::decode(content)
         .and_then(|stored| serde_json::from_value::<AssignmentTable>(stored.value));
@@ -332,6 +344,18 @@
     }
 }
 
+fn apply_rollout(state: &mut RouterState, row: &FeedRow, back_end: &str) {
+    let decoded = row.content.as_deref().map(|content| {
+        StoredRow::decode(content)
+            .and_then(|stored| serde_json::from_value::<RolloutRow>(stored.value))
+    });
+    match (back_end.parse(), decoded.transpose()) {
+        (Ok(back_end), Ok(decoded)) => rollouts::set_row(state, &back_end, decoded, row.version),
+        (Err(error), _) => log_unusable(&mut state.stats, row, &error.to_string()),
+        (_, Err(error)) => log_unusable(&mut state.stats, row, &error.to_string()),
+    }
+}
+
 fn log_unusable(stats: &mut Stats, row: &FeedRow, cause: &str) {
     log_unusable_row(stats, &row.key, row.version, cause);
 }
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -6,16 +6,19 @@
 use rand::RngExt;
 use wagtailmoor_admission::{LoadSample, RunningGuard};
 use wagtailmoor_core::{
-    BackEndId, CustomerId, Epoch, Instant, KeyHash, Outcome, Reason, SlotId, TargetId, Weight,
+    BackEndId, CustomerId, Epoch, Instant, KeyHash, Outcome, Reason, SlotId, TargetId, TemplateId,
+    Weight,
 };
 use wagtailmoor_dispatch::{
     AttemptId, BodyTimeout, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
 };
 use wagtailmoor_front::{AssignedTarget, Call, Dialect, Gateway, Refusal, RequestHead};
+use wagtailmoor_rollout::InFlightGuard;
 use wagtailmoor_site::{RouteRule, SiteConfig};
 use wagtailmoor_telemetry::Event;
 
 use crate::log_lines;
+use crate::rollouts;
 use crate::split::Split;
 use crate::state::{RouterState, Shared};
 use crate::stats::RequestLabels;
@@ -53,6 +56,12 @@
 /// No further attempt starts with less time than this left before the deadline.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(60);
 
+/// Lowest status of a failure at the target.
+const SERVER_ERROR_MIN: u16 = 500;
+
+/// Longest id of a route.
+const TEMPLATE_CHARS_MAX: usize = 64;
+
 /// Routes requests by the state of this node.
 pub(crate) struct RouterGateway<D> {
     shared: Shared,
@@ -80,6 +89,13 @@
     }
 }
 
+/// Counts an attempt as running at its target, and in flight to the version of the target, until
+/// dropped.
+pub(crate) struct AttemptGuard {
+    _running: RunningGuard,
+    _in_flight: Option<InFlightGuard>,
+}
+
 /// The retry budget of one back end.
 pub(crate) struct BackEndBudget {
     shared: Shared,
@@ -101,7 +117,7 @@
 impl<D: Dialect<Load = LoadSample> + 'static> Gateway for RouterGateway<D> {
     type Dialect = D;
     type Credit = CreditGuard;
-    type Guard = RunningGuard;
+    type Guard = AttemptGuard;
     type ConnectionPermit = ();
     type Budget = BackEndBudget;
 
@@ -141,7 +157,7 @@
             deadline,
             customer,
             weight: Weight::new(1),
-            template: "route".parse().expect("a literal id is valid"),
+            template: template(route),
             back_end,
             key: shard_key.map(|key| KeyHash::of(&key.get().to_be_bytes())),
             idempotent: route.idempotent,
@@ -206,7 +222,7 @@
         &self,
         call: &Call,
         tried: &[TargetId],
-    ) -> Result<AssignedTarget<RunningGuard>, Reason> {
+    ) -> Result<AssignedTarget<AttemptGuard>, Reason> {
         let (target, picked) = match call.shard_key {
             Some(key) => {
                 if tried.is_empty() {
@@ -217,10 +233,11 @@
             None => target_choice::pick(&self.shared, call, tried)?,
         };
         log_lines::assigned(call, &target, &picked, tried.len(), &self.shared.read()).info();
+        let in_flight = rollouts::start_attempt(&mut self.shared.write(), self.now(), &target);
         Ok(AssignedTarget {
             target: target.target,
             address: target.address,
-            guard: picked.running,
+            guard: AttemptGuard { _running: picked.running, _in_flight: in_flight },
             ownership: None,
             send_before: None,
         })
@@ -256,7 +273,11 @@
                 load.on_failure(now);
                 load.exclude_until(now + UNREACHABLE_PAUSE);
             }
-            Observation::ConnectionLost { .. } => load.on_failure(now),
+            Observation::ConnectionLost { assigned_at, .. } => {
+                load.on_failure(now);
+                let elapsed = now.saturating_since(*assigned_at);
+                rollouts::on_answer(&mut state, now, call, target, elapsed, true);
+            }
             Observation::Cancelled { elapsed } if *elapsed >= UNANSWERED_WAIT_MIN => {
                 load.on_unanswered(now, *elapsed, slots);
             }
@@ -264,6 +285,11 @@
         }
     }
 
+    fn on_answered(&self, call: &Call, target: &TargetId, elapsed: Duration, status: u16) {
+        let failed = status >= SERVER_ERROR_MIN;
+        rollouts::on_answer(&mut self.shared.write(), self.now(), call, target, elapsed, failed);
+    }
+
     fn on_connection_lost(
         &self,
         call: &Call,
@@ -296,11 +322,12 @@
 
     fn on_unanswered(
         &self,
-        _call: &Call,
+        call: &Call,
         fingerprint: Fingerprint,
         target: &TargetId,
         waited: Duration,
     ) {
+        rollouts::on_unanswered(&mut self.shared.write(), self.now(), call, target, waited);
         if waited < UNANSWERED_WAIT_MIN {
             return;
         }
@@ -370,6 +397,15 @@
     }
 }
 
+/// Returns an id made of a route's name. Names that differ only in characters that an id cannot
+/// have share their id.
+fn template(route: &RouteRule) -> TemplateId {
+    let is_valid = |letter: char| letter.is_ascii_lowercase() || letter.is_ascii_digit();
+    let letters = route.name.chars().take(TEMPLATE_CHARS_MAX);
+    let text: String = letters.map(|letter| if is_valid(letter) { letter } else { '-' }).collect();
+    text.parse().unwrap_or_else(|_| "route".parse().expect("a literal id is valid"))
+}
+
 fn labels(call: Option<&Call>, outcome: Outcome, reason: Option<Reason>) -> RequestLabels {
     RequestLabels {
         back_end: call.map(|call| call.back_end.clone()),
--- a/crates/router/src/metrics_page.rs
+++ b/crates/router/src/metrics_page.rs
@@ -4,6 +4,7 @@
 
 use wagtailmoor_core::{BackEndId, CustomerId, Reason, millis};
 
+use crate::rollouts::Rollouts;
 use crate::state::RouterState;
 use crate::stats::{LATENCY_BOUNDS_MS, RequestLabels};
 
@@ -33,6 +34,19 @@
     write_line(&mut page, "wagtailmoor_config_version", "", version);
     write_line(&mut page, "wagtailmoor_crash_suspects", "", state.ledger.len() as u64);
     write_line(&mut page, "wagtailmoor_targets", "", state.registry.targets().count() as u64);
+    let hosts = state.rollouts.iter().flat_map(Rollouts::hosts);
+    for (back_end, host) in hosts {
+        for (version, sent) in ["old", "new"].into_iter().zip(host.sent()) {
+            let labels = format!("back_end=\"{back_end}\",version=\"{version}\"");
+            write_line(&mut page, "wagtailmoor_rollout_requests_total", &labels, sent);
+        }
+        let rollout = host.policy().row().and_then(|row| row.rollout.as_ref());
+        if let Some(rollout) = rollout {
+            let (to, phase) = (&rollout.to, host.phase().unwrap_or(rollout.phase));
+            let labels = format!("back_end=\"{back_end}\",to={to:?},state=\"{phase}\"");
+            write_line(&mut page, "wagtailmoor_rollout_state", &labels, 1);
+        }
+    }
     page
 }
 
--- a/crates/router/src/node_settings.rs
+++ b/crates/router/src/node_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use wagtailmoor_core::{Incarnation, NodeId, PartsPerMillion, ZoneId};
+use wagtailmoor_rollout::RolloutSettings;
 
 use crate::NodeAddress;
 
@@ -46,6 +47,8 @@
     pub capacity: u32,
     /// File descriptors that the process may use.
     pub descriptors_max: u32,
+    /// Bounds of the exposure to new versions of targets; `None` if rollouts are off.
+    pub rollouts: Option<RolloutSettings>,
     /// Limits of the site that apply to all nodes together.
     pub limits: LimitBounds,
 }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -8,6 +8,7 @@
 use wagtailmoor_derive::value;
 use wagtailmoor_dispatch::{LedgerVersion, SuspectReport, SuspectUpdate};
 use wagtailmoor_ranges::RangeShare;
+use wagtailmoor_rollout::{RolloutDirective, RolloutReport};
 use wagtailmoor_store::CompressedPage;
 
 use crate::NodeAddress;
@@ -43,6 +44,8 @@
     pub(crate) can_lead: bool,
     /// Service times of targets.
     pub(crate) service: Vec<TargetObservations>,
+    /// Answers of old and new versions, for back ends with an active rollout.
+    pub(crate) rollouts: Vec<RolloutReport>,
 }
 
 /// The answer to a report.
@@ -67,6 +70,8 @@
     pub(crate) shares: Vec<(BackEndId, Vec<RangeShare>)>,
     /// Requests that crash targets and that the caller does not know yet.
     pub(crate) suspects: SuspectUpdate,
+    /// Instructions for active rollouts.
+    pub(crate) rollouts: Vec<RolloutDirective>,
 }
 
 /// Versions up to which a node has the tables of the store.
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -12,9 +12,9 @@
 use crate::granter::Granter;
 use crate::peer_link::{PeerCall, PeerLink};
 use crate::peer_service::{KeyCounts, LeaderReply, NodeReport};
-use crate::row_source;
 use crate::site_decoder::SiteDecoder;
 use crate::state::{RouterState, Shared};
+use crate::{rollouts, row_source};
 
 /// Lower bound of the random factor of the report interval, so that nodes that start at once do not
 /// all report at the same time.
@@ -74,6 +74,7 @@
         suspects: state.ledger.unconfirmed_reports(now),
         ledger_version: state.ledger_version,
         service: state.picker.take_observations(),
+        rollouts: rollouts::take_reports(&mut state),
     }
 }
 
@@ -103,6 +104,7 @@
     }
     state.customers.apply_reply(now, reply.allowances, reply.site_nodes);
     state.admitted_shares.replace(now, reply.shares);
+    rollouts::apply(&mut state, now, reply.rollouts);
 }
 
 /// Answers a report. Only the leader divides limits and counts keys.
@@ -127,6 +129,7 @@
         allowances: Vec::new(),
         shares: Vec::new(),
         suspects: state.ledger.refused_since(now, report.ledger_version),
+        rollouts: Vec::new(),
     };
     if leads {
         for counts in &report.keys {
@@ -145,6 +148,7 @@
             state.shares.iter().map(|(id, shares)| (id.clone(), shares.clone())).collect();
         reply.allowances = state.issuer.allowances(now, &node, rules());
         reply.site_nodes = state.issuer.nodes(now);
+        reply.rollouts = rollouts::answer(state, now, &node, &report.rollouts);
         update_node_list(state, now);
         reply.nodes_version = state.reporters_version;
         // A new leader knows few nodes at first. With a list of only these, the wrong nodes would
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep, timeout};
 use wagtailmoor_admission::LoadSample;
 use wagtailmoor_front::{Dialect, FrontLimits, Server};
-use wagtailmoor_store::{ChangeFeed, Table};
+use wagtailmoor_store::{ChangeFeed, PlainTable, StoreClock, Table};
 use wagtailmoor_telemetry::Event;
 
 use crate::feeds::{self, RANGES_TABLE};
@@ -24,7 +24,7 @@
 use crate::site_decoder::SiteDecoder;
 use crate::state::{Shared, SharedState};
 use crate::target_control::TargetControl;
-use crate::{grant_loop, report_loop, row_source};
+use crate::{grant_loop, report_loop, rollout_loop, row_source};
 
 /// A stopping node still accepts connections for this long. The platform checks readiness every
 /// second and stops sending connections after two failed checks.
@@ -86,7 +86,7 @@
 where
     D: Dialect<Load = LoadSample> + 'static,
     S: SiteDecoder + 'static,
-    P: Table + ChangeFeed + 'static,
+    P: Table + PlainTable + StoreClock + ChangeFeed + 'static,
     C: TargetControl + 'static,
 {
     let front = bind("clients", settings.front).await?;
@@ -117,6 +117,7 @@
     let link = PeerLink::default();
     spawn_local(leader_loop::run(Rc::clone(&shared), Rc::clone(&store)));
     spawn_local(grant_loop::run(Rc::clone(&shared), Rc::clone(&store), Rc::new(control)));
+    spawn_local(rollout_loop::run(Rc::clone(&shared), Rc::clone(&store), Rc::clone(&decoder)));
     spawn_local(report_loop::report(Rc::clone(&shared), link.clone()));
     spawn_local(report_loop::answer::<S>(Rc::clone(&shared), received));
     spawn_local(row_source::run(Rc::clone(&shared), link, decoder));
--- a/crates/router/src/site_decoder.rs
+++ b/crates/router/src/site_decoder.rs
@@ -1,7 +1,9 @@
 //! Decoding of the rows that operators and targets write to the platform's store.
 
+use bytes::Bytes;
 use snafu::Snafu;
-use wagtailmoor_core::ZoneId;
+use wagtailmoor_core::{BackEndId, ZoneId};
+use wagtailmoor_rollout::{RolloutOrder, RolloutStatus};
 use wagtailmoor_site::{SiteConfig, Target};
 
 /// A change by operators.
@@ -13,6 +15,10 @@
     ZoneDisabled(ZoneId),
     /// A zone was put back into service.
     ZoneEnabled(ZoneId),
+    /// A back end is to move to another version.
+    RolloutOrdered(RolloutOrder),
+    /// The order for a back end was withdrawn.
+    RolloutWithdrawn(BackEndId),
 }
 
 /// A row that cannot be decoded; it is logged and skipped.
@@ -47,4 +53,7 @@
     ///
     /// The key or the content is not valid.
     fn target(&self, key: &str, content: &[u8]) -> Result<Target, UnusableRow>;
+
+    /// Returns the name and content of the row that shows operators the result of an order.
+    fn rollout_status(&self, status: &RolloutStatus) -> (String, Bytes);
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -27,6 +27,7 @@
 use crate::leader_view::LeaderView;
 use crate::node_settings::NodeSettings;
 use crate::peer_service::ObservedLeader;
+use crate::rollouts::Rollouts;
 use crate::row_cache::RowCache;
 use crate::split::LocalShare;
 use crate::stats::Stats;
@@ -106,6 +107,8 @@
     /// When requests that arrive during the shutdown must be answered; `None` unless this process
     /// is shutting down.
     pub(crate) shutdown_deadline: Option<Instant>,
+    /// Versions of targets; `None` if rollouts are off.
+    pub(crate) rollouts: Option<Rollouts>,
     pub(crate) random: SmallRng,
     pub(crate) stats: Stats,
 }
@@ -178,6 +181,7 @@
             source,
             store_down: None,
             shutdown_deadline: None,
+            rollouts: settings.rollouts.map(Rollouts::new),
             random: SmallRng::seed_from_u64(seed),
             stats: Stats::default(),
         };
--- a/crates/router/src/target_choice.rs
+++ b/crates/router/src/target_choice.rs
@@ -4,8 +4,9 @@
 
 use tokio::time::timeout;
 use wagtailmoor_admission::{PickCriteria, Picked};
-use wagtailmoor_core::{Reason, ShardKey, TargetId};
+use wagtailmoor_core::{Instant, NodeId, Reason, ShardKey, TargetId, ZoneId};
 use wagtailmoor_front::Call;
+use wagtailmoor_rollout::VersionClass;
 use wagtailmoor_site::{BackEndRule, Target};
 
 use crate::log_lines;
@@ -120,11 +121,42 @@
     let now = shared.now();
     let (zone, node) = (&shared.settings.zone, &shared.settings.node);
     let mut state = shared.write();
-    let RouterState { registry, picker, cold_gate, random, config, .. } = &mut *state;
+    let state = &mut *state;
+    let classes = state
+        .rollouts
+        .as_ref()
+        .map_or([None, None], |rollouts| rollouts.choose(now, &state.registry, &call.back_end));
+    let chosen = pick_among(state, now, (zone, node), call, tried, classes[0]);
+    let chosen = match (chosen, classes[1]) {
+        (None, Some(class)) => pick_among(state, now, (zone, node), call, tried, Some(class)),
+        (chosen, _) => chosen,
+    };
+    let (target, picked) = chosen.ok_or(Reason::TargetUnavailable)?;
+    match now + picked.expected / 2 > call.deadline {
+        true => Err(Reason::QueueFull),
+        false => Ok((target, picked)),
+    }
+}
+
+/// Chooses a target of a class of versions; `None` for any version.
+fn pick_among(
+    state: &mut RouterState,
+    now: Instant,
+    (zone, node): (&ZoneId, &NodeId),
+    call: &Call,
+    tried: &[TargetId],
+    class: Option<VersionClass>,
+) -> Option<(Target, Picked)> {
+    let RouterState { registry, picker, cold_gate, random, config, rollouts, .. } = state;
+    let is_allowed = |target: &Target| match (class, &*rollouts) {
+        (Some(class), Some(rollouts)) => rollouts.allows(class, target),
+        _ => true,
+    };
     let rule = config.as_ref().and_then(|config| config.back_end(&call.back_end));
     let per_s = rule.map_or(0.0, BackEndRule::cold_per_s);
     let criteria = PickCriteria { tried, bulk: call.bulk, default_service_time: DEFAULT_LATENCY };
-    let in_service = |target: &&Target| registry.is_in_service(now, &target.target);
+    let in_service =
+        |target: &&Target| registry.is_in_service(now, &target.target) && is_allowed(target);
     let (cold_targets, warm): (Vec<&Target>, Vec<&Target>) = registry
         .targets_of(&call.back_end)
         .filter(in_service)
@@ -141,9 +173,5 @@
         false => picker.pick(now, zone, admitted.into_iter(), criteria, random),
         true => picker.pick(now, zone, warm.into_iter(), criteria, random),
     };
-    let (target, picked) = chosen.ok_or(Reason::TargetUnavailable)?;
-    match now + picked.expected / 2 > call.deadline {
-        true => Err(Reason::QueueFull),
-        false => Ok((target.clone(), picked)),
-    }
+    chosen.map(|(target, picked)| (target.clone(), picked))
 }
--- a/crates/site/src/site_config.rs
+++ b/crates/site/src/site_config.rs
@@ -69,6 +69,13 @@
         self.routes.iter().filter(leads_to).map(|route| route.objective).min()
     }
 
+    /// Returns the longest timeout among the routes to a back end; zero without routes.
+    pub fn longest_timeout(&self, back_end: &BackEndId) -> Duration {
+        let leads_to =
+            |route: &&RouteRule| route.split.iter().any(|part| part.back_end == *back_end);
+        self.routes.iter().filter(leads_to).map(|route| route.timeout).max().unwrap_or_default()
+    }
+
     /// Returns the customer that holds a key.
     pub fn customer_of(&self, key: &KeyDigest) -> Option<&CustomerRule> {
         self.customers.get(self.keys.get(key)?)
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,6 +12,7 @@
 mod http_platform;
 mod json_client;
 mod object_store;
+mod plain_table;
 mod store_clock;
 mod store_error;
 mod stored_row;
@@ -29,6 +30,7 @@
 pub use http_platform::HttpPlatform;
 pub use json_client::{JsonClient, JsonResponse};
 pub use object_store::ObjectStore;
+pub use plain_table::PlainTable;
 pub use store_clock::StoreClock;
 pub use store_error::StoreError;
 pub use stored_row::StoredRow;
