Share what full targets can hold over all nodes

A node among 80 sees one of 350 targets once in ten seconds, so nodes overran targets together: targets reject what they cannot queue, or never answer it.

Nodes report their unanswered requests by target. The leader sums them, learns what a target holds from its load reports, rejections and unanswered requests, and replies with full targets and what each node may send to them. Keyed requests beyond that are refused before their body is read, pooled ones go to targets with room. Nothing is reported before a target gives a signal. PeerCall boxes the report, which grew beyond the size that clippy allows for a variant.

Not run on a site with processes.

--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use wagtailmoor_admission::{LoadSample, RunningGuard};
+use wagtailmoor_admission::LoadSample;
 use wagtailmoor_core::{
     BackEndId, CustomerId, Epoch, Instant, KeyHash, Outcome, Reason, SlotId, TargetId, Weight,
 };
@@ -16,6 +16,7 @@
 use wagtailmoor_telemetry::Event;
 
 use crate::log_lines;
+use crate::room_at_targets::{self, AttemptGuard};
 use crate::split::Split;
 use crate::state::{RouterState, Shared};
 use crate::stats::RequestLabels;
@@ -101,7 +102,7 @@
 impl<D: Dialect<Load = LoadSample> + 'static> Gateway for RouterGateway<D> {
     type Dialect = D;
     type Credit = CreditGuard;
-    type Guard = RunningGuard;
+    type Guard = AttemptGuard;
     type ConnectionPermit = ();
     type Budget = BackEndBudget;
 
@@ -134,7 +135,7 @@
         let shard_key = head.shard_key.filter(|_| keyed);
         let timeout = head.deadline.map_or(route.timeout, |wait| wait.min(route.timeout));
         let deadline = deadline(now, timeout, route.idempotent, *shutdown_deadline)?;
-        Ok(Call {
+        let call = Call {
             id: AttemptId::new(random.random()),
             request_id: head.request_id.map(Into::into),
             received_at: now,
@@ -159,7 +160,10 @@
                 unreachable: Reason::TargetUnavailable,
             },
             hedge_after: None,
-        })
+        };
+        room_at_targets::check_arrival(&mut state, now, &call)
+            .map_err(|refusal| refusal.with_retry_after(BUSY_RETRY_AFTER))?;
+        Ok(call)
     }
 
     fn check_fingerprint(
@@ -206,7 +210,7 @@
         &self,
         call: &Call,
         tried: &[TargetId],
-    ) -> Result<AssignedTarget<RunningGuard>, Reason> {
+    ) -> Result<AssignedTarget<AttemptGuard>, Reason> {
         let (target, picked) = match call.shard_key {
             Some(key) => {
                 if tried.is_empty() {
@@ -217,10 +221,12 @@
             None => target_choice::pick(&self.shared, call, tried)?,
         };
         log_lines::assigned(call, &target, &picked, tried.len(), &self.shared.read()).info();
+        let now = self.now();
+        let guard = room_at_targets::start(&mut self.shared.write(), now, call, &target, picked);
         Ok(AssignedTarget {
             target: target.target,
             address: target.address,
-            guard: picked.running,
+            guard,
             ownership: None,
             send_before: None,
         })
@@ -238,6 +244,12 @@
         let now = self.now();
         let mut state = self.shared.write();
         let slots = state.registry.get(target).map_or(1, |known| known.slots.get());
+        match observation {
+            Observation::Answered { .. } => state.room.on_answered(target),
+            Observation::Refused { .. } => state.room.on_rejected(target),
+            Observation::Cancelled { elapsed } => state.room.on_given_up(target, *elapsed),
+            _ => {}
+        }
         let load = state.picker.load(target);
         match observation {
             Observation::Answered { elapsed, .. } => load.on_response(now, *elapsed, slots),
@@ -314,6 +326,7 @@
     fn on_load_report(&self, target: &TargetId, load: LoadSample) {
         let now = self.now();
         let mut state = self.shared.write();
+        state.room.on_load_report(target, load);
         state.picker.load(target).on_load_report(now, load);
         if let Some(left) = load.cold_for {
             state.registry.set_cold(now, target, left);
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -104,6 +104,7 @@
         Event::new("leader-lost").warn();
         state.granters.clear();
         state.shares.clear();
+        state.room_allocator.clear();
         state.shares_computed_at.clear();
     }
     match state.lease.authority(now) {
--- a/crates/router/src/metrics_page.rs
+++ b/crates/router/src/metrics_page.rs
@@ -33,6 +33,8 @@
     write_line(&mut page, "wagtailmoor_config_version", "", version);
     write_line(&mut page, "wagtailmoor_crash_suspects", "", state.ledger.len() as u64);
     write_line(&mut page, "wagtailmoor_targets", "", state.registry.targets().count() as u64);
+    let named = state.room.named_targets() as u64;
+    write_line(&mut page, "wagtailmoor_targets_short_of_room", "", named);
     page
 }
 
--- a/crates/router/src/peer_link.rs
+++ b/crates/router/src/peer_link.rs
@@ -29,7 +29,7 @@
 /// A call of another node, with the sender for its reply. Dropping the sender answers the call with
 /// [`Stopping`].
 pub(crate) enum PeerCall {
-    Report(NodeReport, oneshot::Sender<LeaderReply>),
+    Report(Box<NodeReport>, oneshot::Sender<LeaderReply>),
     Rows(KnownVersions, oneshot::Sender<MissingRows>),
 }
 
@@ -41,7 +41,7 @@
 impl RouterPeer for PeerServer {
     async fn report(self, _: Context, report: NodeReport) -> Result<LeaderReply, Stopping> {
         let (reply, answer) = oneshot::channel();
-        self.calls.send(PeerCall::Report(report, reply)).map_err(|_| Stopping)?;
+        self.calls.send(PeerCall::Report(Box::new(report), reply)).map_err(|_| Stopping)?;
         answer.await.map_err(|_| Stopping)
     }
 
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use snafu::Snafu;
-use wagtailmoor_admission::{CustomerUsage, NodeAllowance, TargetObservations};
+use wagtailmoor_admission::{
+    CustomerUsage, NodeAllowance, RoomReply, RoomReport, TargetObservations,
+};
 use wagtailmoor_core::{BackEndId, NodeId, RowVersion, ShardKey};
 use wagtailmoor_derive::value;
 use wagtailmoor_dispatch::{LedgerVersion, SuspectReport, SuspectUpdate};
@@ -43,6 +45,8 @@
     pub(crate) can_lead: bool,
     /// Service times of targets.
     pub(crate) service: Vec<TargetObservations>,
+    /// Unanswered requests by target; empty unless targets reject requests or fall silent.
+    pub(crate) room: RoomReport,
 }
 
 /// The answer to a report.
@@ -67,6 +71,8 @@
     pub(crate) shares: Vec<(BackEndId, Vec<RangeShare>)>,
     /// Requests that crash targets and that the caller does not know yet.
     pub(crate) suspects: SuspectUpdate,
+    /// Full targets.
+    pub(crate) room: RoomReply,
 }
 
 /// Versions up to which a node has the tables of the store.
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
-use wagtailmoor_admission::ReportTiming;
+use wagtailmoor_admission::{ReportTiming, RoomReply};
 use wagtailmoor_core::Instant;
 use wagtailmoor_telemetry::Event;
 
@@ -74,6 +74,7 @@
         suspects: state.ledger.unconfirmed_reports(now),
         ledger_version: state.ledger_version,
         service: state.picker.take_observations(),
+        room: state.room.take_report(now),
     }
 }
 
@@ -103,6 +104,8 @@
     }
     state.customers.apply_reply(now, reply.allowances, reply.site_nodes);
     state.admitted_shares.replace(now, reply.shares);
+    let RouterState { room, random, .. } = &mut *state;
+    room.apply_reply(now, reply.room, random);
 }
 
 /// Answers a report. Only the leader divides limits and counts keys.
@@ -127,6 +130,7 @@
         allowances: Vec::new(),
         shares: Vec::new(),
         suspects: state.ledger.refused_since(now, report.ledger_version),
+        room: RoomReply::default(),
     };
     if leads {
         for counts in &report.keys {
@@ -143,6 +147,11 @@
         state.reporters_changed |= previous.is_none_or(|previous| previous != report.from);
         reply.shares =
             state.shares.iter().map(|(id, shares)| (id.clone(), shares.clone())).collect();
+        let registry = &state.registry;
+        state.room_allocator.record(now, &node, &report.room, |target| registry.get(target));
+        let back_end = |id: &_| state.config.as_ref().and_then(|config| config.back_end(id));
+        let is_keyed = |id: &_| back_end(id).is_some_and(|rule| rule.keyed);
+        reply.room = state.room_allocator.reply(now, &node, is_keyed);
         reply.allowances = state.issuer.allowances(now, &node, rules());
         reply.site_nodes = state.issuer.nodes(now);
         update_node_list(state, now);
@@ -179,7 +188,7 @@
         match call {
             // Sending fails if the caller has gone.
             PeerCall::Report(report, reply) => {
-                drop(reply.send(answer_report(&shared, shared.now(), report)));
+                drop(reply.send(answer_report(&shared, shared.now(), *report)));
             }
             PeerCall::Rows(known, reply) => row_source::answer::<S>(&shared, known, reply),
         }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -7,7 +7,8 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 use wagtailmoor_admission::{
-    ColdGate, CustomerLimits, LimitIssuer, LimitSettings, TargetPicker, TargetSpeeds,
+    ColdGate, CustomerLimits, LimitIssuer, LimitSettings, RoomAllocator, RoomGate, TargetPicker,
+    TargetSpeeds,
 };
 use wagtailmoor_core::{
     BackEndId, Clock, Incarnation, Instant, NodeId, PartsPerMillion, ShardKey, SortedVec, TargetId,
@@ -54,6 +55,8 @@
     /// Share of the requests to each back end that are run in this node's zone.
     pub(crate) local_shares: SortedVec<BackEndId, LocalShare>,
     pub(crate) picker: TargetPicker,
+    /// What this node may send to full targets.
+    pub(crate) room: RoomGate,
     pub(crate) customers: CustomerLimits,
     pub(crate) cold_gate: ColdGate,
     pub(crate) ledger: CrashLedger,
@@ -78,6 +81,8 @@
     pub(crate) granters: Granters,
     /// Speeds of targets; used only while this process leads.
     pub(crate) speeds: TargetSpeeds,
+    /// Divides the room at full targets; used only while this process leads.
+    pub(crate) room_allocator: RoomAllocator,
     /// When this process became the leader.
     pub(crate) leading_since: Instant,
     /// Divides customers' limits; used only while this process leads.
@@ -150,6 +155,7 @@
             tables: SortedVec::new(),
             local_shares: SortedVec::new(),
             picker: TargetPicker::default(),
+            room: RoomGate::default(),
             customers: CustomerLimits::new(limits),
             cold_gate: ColdGate::default(),
             ledger: CrashLedger::new(crash_settings).with_id(seed),
@@ -165,6 +171,7 @@
             shares_computed_at: SortedVec::new(),
             granters: Granters::default(),
             speeds: TargetSpeeds::default(),
+            room_allocator: RoomAllocator::default(),
             leading_since: now,
             issuer: LimitIssuer::new(limits),
             reporters: SortedVec::new(),
--- a/crates/router/src/target_choice.rs
+++ b/crates/router/src/target_choice.rs
@@ -95,6 +95,10 @@
         log_lines::withheld(call, &target.target, share, leader_age).info();
         return OwnerLookup::Refuse(Reason::QueueFull);
     }
+    // The first attempt was admitted on arrival.
+    if !tried.is_empty() && !state.room.has_room(now, &target.target) {
+        return OwnerLookup::Refuse(Reason::QueueFull);
+    }
     let load = state.picker.load(&target.target);
     if load.is_excluded(now) {
         return OwnerLookup::Refuse(Reason::OwnerUnreachable);
@@ -120,14 +124,19 @@
     let now = shared.now();
     let (zone, node) = (&shared.settings.zone, &shared.settings.node);
     let mut state = shared.write();
-    let RouterState { registry, picker, cold_gate, random, config, .. } = &mut *state;
+    let RouterState { registry, picker, cold_gate, random, config, room, .. } = &mut *state;
     let rule = config.as_ref().and_then(|config| config.back_end(&call.back_end));
     let per_s = rule.map_or(0.0, BackEndRule::cold_per_s);
     let criteria = PickCriteria { tried, bulk: call.bulk, default_service_time: DEFAULT_LATENCY };
     let in_service = |target: &&Target| registry.is_in_service(now, &target.target);
+    let is_full = registry
+        .targets_of(&call.back_end)
+        .filter(in_service)
+        .any(|target| !room.has_pooled_room(now, &target.target));
     let (cold_targets, warm): (Vec<&Target>, Vec<&Target>) = registry
         .targets_of(&call.back_end)
         .filter(in_service)
+        .filter(|target| room.has_pooled_room(now, &target.target))
         .partition(|target| registry.is_cold(now, &target.target));
     let admitted: Vec<&Target> = cold_targets
         .into_iter()
@@ -141,7 +150,10 @@
         false => picker.pick(now, zone, admitted.into_iter(), criteria, random),
         true => picker.pick(now, zone, warm.into_iter(), criteria, random),
     };
-    let (target, picked) = chosen.ok_or(Reason::TargetUnavailable)?;
+    let (target, picked) = chosen.ok_or(match is_full {
+        true => Reason::QueueFull,
+        false => Reason::TargetUnavailable,
+    })?;
     match now + picked.expected / 2 > call.deadline {
         true => Err(Reason::QueueFull),
         false => Ok((target.clone(), picked)),
