Merge the limits at targets, switched on by the platform's contracts

Cause: deployments that are in service are to be served as before, and targets of all of them reject requests at times. Change: unanswered requests are reported only if the platform's contracts contain pressure. Both kinds of attempt guards are held together.

--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use wagtailmoor_admission::{LoadSample, RunningGuard};
+use wagtailmoor_admission::{LoadSample, RunningGuard, UnansweredGuard};
 use wagtailmoor_core::{
     BackEndId, CustomerId, Epoch, Instant, KeyHash, Outcome, Reason, SlotId, TargetId, TemplateId,
     Weight,
@@ -19,6 +19,7 @@
 
 use crate::log_lines;
 use crate::rollouts;
+use crate::room_at_targets;
 use crate::split::Split;
 use crate::state::{RouterState, Shared};
 use crate::stats::RequestLabels;
@@ -90,10 +91,11 @@
     }
 }
 
-/// Counts an attempt as running at its target, and in flight to the version of the target, until
-/// dropped.
-pub(crate) struct AttemptGuard {
+/// Counts an attempt as running and unanswered at its target, and as in flight to the version of
+/// the target, until dropped.
+pub struct AttemptGuard {
     _running: RunningGuard,
+    _unanswered: UnansweredGuard,
     _in_flight: Option<InFlightGuard>,
 }
 
@@ -151,7 +153,7 @@
         let shard_key = head.shard_key.filter(|_| keyed);
         let timeout = head.deadline.map_or(route.timeout, |wait| wait.min(route.timeout));
         let deadline = deadline(now, timeout, route.idempotent, *shutdown_deadline)?;
-        Ok(Call {
+        let mut call = Call {
             id: AttemptId::new(random.random()),
             request_id: head.request_id.map(Into::into),
             received_at: now,
@@ -176,7 +178,11 @@
                 unreachable: Reason::TargetUnavailable,
             },
             hedge_after: None,
-        })
+        };
+        room_at_targets::check_arrival(&mut state, now, &call)
+            .map_err(|refusal| refusal.with_retry_after(BUSY_RETRY_AFTER))?;
+        call.hedge_after = room_at_targets::hedge_after(&mut state, now, &call);
+        Ok(call)
     }
 
     fn check_fingerprint(
@@ -224,6 +230,11 @@
         call: &Call,
         tried: &[TargetId],
     ) -> Result<AssignedTarget<AttemptGuard>, Reason> {
+        let may_send = tried.is_empty()
+            || room_at_targets::may_send_again(&mut self.shared.write(), self.now(), call);
+        if !may_send {
+            return Err(Reason::QueueFull);
+        }
         let (target, picked) = match call.shard_key {
             Some(key) => {
                 if tried.is_empty() {
@@ -234,11 +245,18 @@
             None => target_choice::pick(&self.shared, call, tried)?,
         };
         log_lines::assigned(call, &target, &picked, tried.len(), &self.shared.read()).info();
-        let in_flight = rollouts::start_attempt(&mut self.shared.write(), self.now(), &target);
+        let now = self.now();
+        let mut state = self.shared.write();
+        let in_flight = rollouts::start_attempt(&mut state, now, &target);
+        let unanswered = room_at_targets::start(&mut state, now, call, &target, picked.expected);
         Ok(AssignedTarget {
             target: target.target,
             address: target.address,
-            guard: AttemptGuard { _running: picked.running, _in_flight: in_flight },
+            guard: AttemptGuard {
+                _running: picked.running,
+                _unanswered: unanswered,
+                _in_flight: in_flight,
+            },
             ownership: None,
             send_before: None,
         })
@@ -269,6 +287,12 @@
         let now = self.now();
         let mut state = self.shared.write();
         let slots = state.registry.get(target).map_or(1, |known| known.slots.get());
+        match observation {
+            Observation::Answered { elapsed, .. } => state.room.on_answered(target, *elapsed),
+            Observation::Refused { .. } => state.room.on_rejected(target),
+            Observation::Cancelled { elapsed } => state.room.on_given_up(target, *elapsed),
+            _ => {}
+        }
         let load = state.picker.load(target);
         match observation {
             Observation::Answered { elapsed, .. } => load.on_response(now, *elapsed, slots),
@@ -355,6 +379,7 @@
     fn on_load_report(&self, target: &TargetId, load: LoadSample) {
         let now = self.now();
         let mut state = self.shared.write();
+        state.room.on_load_report(target, load);
         state.picker.load(target).on_load_report(now, load);
         if let Some(left) = load.cold_for {
             state.registry.set_cold(now, target, left);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -27,6 +27,7 @@
 mod report_loop;
 mod rollout_loop;
 mod rollouts;
+mod room_at_targets;
 mod router;
 mod row_cache;
 mod row_source;
@@ -40,7 +41,7 @@
 
 pub use boot_clock::BootClock;
 pub use change_source::ChangeSource;
-pub use gateway::CreditGuard;
+pub use gateway::{AttemptGuard, CreditGuard};
 pub use leader_lease::{LeaderLease, LeaderRow, LeaseAction};
 pub use leader_view::LeaderView;
 pub use node_address::NodeAddress;
--- a/crates/router/src/metrics_page.rs
+++ b/crates/router/src/metrics_page.rs
@@ -53,6 +53,8 @@
             write_line(&mut page, "wagtailmoor_rollout_state", &labels, 1);
         }
     }
+    let named = state.room.named_targets() as u64;
+    write_line(&mut page, "wagtailmoor_targets_short_of_room", "", named);
     page
 }
 
--- a/crates/router/src/node_settings.rs
+++ b/crates/router/src/node_settings.rs
@@ -49,6 +49,8 @@
     pub descriptors_max: u32,
     /// Bounds of the exposure to new versions of targets; `None` if rollouts are off.
     pub rollouts: Option<RolloutSettings>,
+    /// Whether the site asks for concurrency limits at targets and for admission by priority.
+    pub load_control: bool,
     /// Limits of the site that apply to all nodes together.
     pub limits: LimitBounds,
 }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use snafu::Snafu;
-use wagtailmoor_admission::{CustomerUsage, NodeAllowance, TargetObservations};
+use wagtailmoor_admission::{
+    CustomerUsage, NodeAllowance, RoomReply, RoomReport, TargetObservations,
+};
 use wagtailmoor_core::{BackEndId, NodeId, RowVersion, ShardKey};
 use wagtailmoor_derive::value;
 use wagtailmoor_dispatch::{LedgerVersion, SuspectReport, SuspectUpdate};
@@ -46,6 +48,8 @@
     pub(crate) service: Vec<TargetObservations>,
     /// Answers of old and new versions, for back ends with an active rollout.
     pub(crate) rollouts: Vec<RolloutReport>,
+    /// Unanswered requests by target; empty unless targets reject requests or fall silent.
+    pub(crate) room: RoomReport,
 }
 
 /// The answer to a report.
@@ -72,6 +76,8 @@
     pub(crate) suspects: SuspectUpdate,
     /// Instructions for active rollouts.
     pub(crate) rollouts: Vec<RolloutDirective>,
+    /// Full targets.
+    pub(crate) room: RoomReply,
 }
 
 /// Versions up to which a node has the tables of the store.
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
-use wagtailmoor_admission::ReportTiming;
+use wagtailmoor_admission::{ReportTiming, RoomReply, RoomReport};
 use wagtailmoor_core::Instant;
 use wagtailmoor_telemetry::Event;
 
@@ -65,6 +65,8 @@
         .into_iter()
         .map(|(back_end, keys)| KeyCounts { back_end, keys: keys.into_iter().collect() })
         .collect();
+    let room = state.room.take_report(now);
+    let room = if settings.load_control { room } else { RoomReport::default() };
     NodeReport {
         from: settings.address(),
         nodes_version: state.nodes_version,
@@ -75,6 +77,7 @@
         ledger_version: state.ledger_version,
         service: state.picker.take_observations(),
         rollouts: rollouts::take_reports(&mut state),
+        room,
     }
 }
 
@@ -105,6 +108,8 @@
     state.customers.apply_reply(now, reply.allowances, reply.site_nodes);
     state.admitted_shares.replace(now, reply.shares);
     rollouts::apply(&mut state, now, reply.rollouts);
+    let RouterState { room, random, .. } = &mut *state;
+    room.apply_reply(now, reply.room, random);
 }
 
 /// Answers a report. Only the leader divides limits and counts keys.
@@ -130,6 +135,7 @@
         shares: Vec::new(),
         suspects: state.ledger.refused_since(now, report.ledger_version),
         rollouts: Vec::new(),
+        room: RoomReply::default(),
     };
     if leads {
         for counts in &report.keys {
@@ -146,6 +152,11 @@
         state.reporters_changed |= previous.is_none_or(|previous| previous != report.from);
         reply.shares =
             state.shares.iter().map(|(id, shares)| (id.clone(), shares.clone())).collect();
+        let registry = &state.registry;
+        state.room_allocator.record(now, &node, &report.room, |target| registry.get(target));
+        let back_end = |id: &_| state.config.as_ref().and_then(|config| config.back_end(id));
+        let is_keyed = |id: &_| back_end(id).is_some_and(|rule| rule.keyed);
+        reply.room = state.room_allocator.reply(now, &node, is_keyed);
         reply.allowances = state.issuer.allowances(now, &node, rules());
         reply.site_nodes = state.issuer.nodes(now);
         reply.rollouts = rollouts::answer(state, now, &node, &report.rollouts);
@@ -183,7 +194,7 @@
         match call {
             // Sending fails if the caller has gone.
             PeerCall::Report(report, reply) => {
-                drop(reply.send(answer_report(&shared, shared.now(), report)));
+                drop(reply.send(answer_report(&shared, shared.now(), *report)));
             }
             PeerCall::Rows(known, reply) => row_source::answer::<S>(&shared, known, reply),
         }
--- a/crates/router/src/target_choice.rs
+++ b/crates/router/src/target_choice.rs
@@ -96,6 +96,10 @@
         log_lines::withheld(call, &target.target, share, leader_age).info();
         return OwnerLookup::Refuse(Reason::QueueFull);
     }
+    // The first attempt was admitted on arrival.
+    if !tried.is_empty() && !state.room.has_room(now, &target.target) {
+        return OwnerLookup::Refuse(Reason::QueueFull);
+    }
     let load = state.picker.load(&target.target);
     if load.is_excluded(now) {
         return OwnerLookup::Refuse(Reason::OwnerUnreachable);
@@ -131,13 +135,26 @@
         (None, Some(class)) => pick_among(state, now, (zone, node), call, tried, Some(class)),
         (chosen, _) => chosen,
     };
-    let (target, picked) = chosen.ok_or(Reason::TargetUnavailable)?;
+    let (target, picked) = chosen.ok_or_else(|| reason_without_target(state, now, call))?;
     match now + picked.expected / 2 > call.deadline {
         true => Err(Reason::QueueFull),
         false => Ok((target, picked)),
     }
 }
 
+/// Returns why no target of a back end can be chosen.
+fn reason_without_target(state: &RouterState, now: Instant, call: &Call) -> Reason {
+    let is_full = state
+        .registry
+        .targets_of(&call.back_end)
+        .filter(|target| state.registry.is_in_service(now, &target.target))
+        .any(|target| !state.room.has_pooled_room(now, &target.target));
+    match is_full {
+        true => Reason::QueueFull,
+        false => Reason::TargetUnavailable,
+    }
+}
+
 /// Chooses a target of a class of versions; `None` for any version.
 fn pick_among(
     state: &mut RouterState,
@@ -147,7 +164,7 @@
     tried: &[TargetId],
     class: Option<VersionClass>,
 ) -> Option<(Target, Picked)> {
-    let RouterState { registry, picker, cold_gate, random, config, rollouts, .. } = state;
+    let RouterState { registry, picker, cold_gate, random, config, rollouts, room, .. } = state;
     let is_allowed = |target: &Target| match (class, &*rollouts) {
         (Some(class), Some(rollouts)) => rollouts.allows(class, target),
         _ => true,
@@ -160,6 +177,7 @@
     let (cold_targets, warm): (Vec<&Target>, Vec<&Target>) = registry
         .targets_of(&call.back_end)
         .filter(in_service)
+        .filter(|target| room.has_pooled_room(now, &target.target))
         .partition(|target| registry.is_cold(now, &target.target));
     let admitted: Vec<&Target> = cold_targets
         .into_iter()
