Ask all nodes for their requests after the first signal

A node reported only targets that had given it a signal, and a signal with fewer requests than the target has slots set no limit. On a site where each node sends little to a target, no limit was ever learned.

The leader now asks all nodes about a back end after any signal. Guarded by a_signal_of_one_node_makes_all_nodes_report. Passed: tests of admission and router, clippy for the workspace.

--- a/crates/admission/src/holding_limit.rs
+++ b/crates/admission/src/holding_limit.rs
@@ -60,7 +60,7 @@
     }
 
     /// Returns whether the target gave a recent signal.
-    pub fn is_signalled(&self, now: Instant) -> bool {
+    fn is_signalled(&self, now: Instant) -> bool {
         self.signalled_at.is_some_and(|at| now < at + SIGNAL_LIFETIME)
     }
 
--- a/crates/admission/src/room_allocator.rs
+++ b/crates/admission/src/room_allocator.rs
@@ -24,8 +24,9 @@
 /// one interval fit into the targets even if all nodes choose the same ones.
 const SHORT_RATIO: f64 = 0.5;
 
-/// Requests to a back end are hedged for this long after a request without an answer.
-const SILENCE_LIFETIME: Duration = Duration::from_secs(60);
+/// Nodes report on a back end for this long after a rejection or a request without an answer, and
+/// hedge requests to it for this long after the latter.
+const SIGNAL_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Requests of all nodes together in an interval to a target that has no room, to find out whether
 /// it answers again.
@@ -68,6 +69,8 @@
     targets: SortedVec<TargetId, TargetState>,
     nodes: SortedVec<NodeId, NodeState>,
     arrived: SortedVec<BackEndId, EventRate>,
+    /// When a target of each back end last rejected or did not answer a request.
+    signalled_at: SortedVec<BackEndId, Instant>,
     /// When a target of each back end last did not answer a request.
     silent_at: SortedVec<BackEndId, Instant>,
     pruned_at: Instant,
@@ -128,6 +131,9 @@
             state.limit.on_held(now, f64::from(occupancy.held_max.get()));
         }
         if occupancy.rejected > 0 || occupancy.silent > 0 {
+            // A node alone does not know how many requests the target has, so the others are asked
+            // even if this signal sets no limit.
+            self.signalled_at.insert(target.back_end.clone(), now);
             state.limit.on_signal(now, slots, f64::from(state.unanswered));
         }
     }
@@ -140,7 +146,7 @@
         node: &NodeId,
         is_keyed: impl Fn(&BackEndId) -> bool,
     ) -> RoomReply {
-        let tracked = self.tracked(now);
+        let tracked: Vec<BackEndId> = self.signalled_at.keys().cloned().collect();
         let is_short = |back_end: &&BackEndId| self.is_short(now, back_end);
         let short: Vec<BackEndId> = tracked.iter().filter(is_short).cloned().collect();
         let nodes = self.nodes.len().max(1);
@@ -166,15 +172,6 @@
         }
     }
 
-    /// Returns the back ends with a target that gave a signal.
-    fn tracked(&self, now: Instant) -> Vec<BackEndId> {
-        let signalled = self.targets.values().filter(|state| state.limit.is_signalled(now));
-        let mut tracked: Vec<BackEndId> = signalled.map(|state| state.back_end.clone()).collect();
-        tracked.sort();
-        tracked.dedup();
-        tracked
-    }
-
     /// Returns whether the targets of a back end that have limits are short of room.
     fn is_short(&self, now: Instant, back_end: &BackEndId) -> bool {
         let own = self.targets.values().filter(|state| state.back_end == *back_end);
@@ -253,7 +250,8 @@
             is_live
         });
         self.subtract(&expired);
-        self.silent_at.retain(|_, at| now < *at + SILENCE_LIFETIME);
+        self.signalled_at.retain(|_, at| now < *at + SIGNAL_LIFETIME);
+        self.silent_at.retain(|_, at| now < *at + SIGNAL_LIFETIME);
         self.targets.retain(|_, state| state.unanswered > 0 || state.limit.is_known(now));
     }
 
--- a/crates/admission/tests/room.rs
+++ b/crates/admission/tests/room.rs
@@ -323,6 +323,24 @@
     assert!(silent(&site).is_empty());
 }
 
+// Guards against targets that stay unlimited because each node alone sees few of their requests:
+// the first signal must make all nodes report.
+#[test]
+fn a_signal_of_one_node_makes_all_nodes_report() {
+    let mut site = Site::new(2, 1, true, true);
+    let (now, id) = (site.now, site.targets[0].target.clone());
+    drop(site.nodes[0].1.start(now, &back_end(), &id, EXPECTED));
+    site.nodes[0].1.on_rejected(&id);
+    site.report(0);
+    site.report(1);
+    let reply = site.allocator.reply(now, &site.nodes[1].0, |_| false);
+    assert_eq!((reply.tracked.as_slice(), reply.targets.len()), ([back_end()].as_slice(), 0));
+    let gate = &mut site.nodes[1].1;
+    let guards: Vec<_> = (0..5).map(|_| gate.start(now, &back_end(), &id, EXPECTED)).collect();
+    assert_eq!(gate.take_report(now).targets[0].unanswered, Requests::new(5));
+    drop(guards);
+}
+
 // Guards against a limit learned from a target that rejects requests while it has free slots, and
 // against one that never rises again after its target recovers.
 #[test]
