Admit requests to overloaded back ends by priority

Cause: priorities were decoded and never used. Urgent requests waited behind others on a shared back end, nothing limited pooled back ends, and what exceeded a limit was refused only after its body had been read. Change: nodes report demand by priority; the leader computes admitted shares for pooled back ends, and by priority for overloaded ranges; nodes apply them by counting. Limits and shares are checked before the body is read.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,26 +4,44 @@
 //! clock. Limits that apply to all nodes together are divided among the nodes. For customer limits,
 //! the [`LimitIssuer`] on the leader and the [`CustomerLimits`] on every node do so; [`ColdGate`]
 //! divides the limits of cold targets by the list of nodes.
+//! The [`AdmissionController`] on the leader decides which requests to overloaded back ends are
+//! admitted, and the [`AdmissionGate`] on every node applies that.
 
+mod admission_controller;
+mod admission_gate;
+mod admitted_shares;
+mod back_end_demand;
 mod cold_gate;
 mod customer_limits;
+mod demand_counter;
+mod division;
+mod keyed_demand;
 mod limit_issuer;
 mod limit_settings;
 mod load_sample;
 mod node_allowance;
+mod pooled_overload;
 mod report_timing;
+mod request_class;
 mod split_candidate;
 mod target_load;
 mod target_picker;
 mod target_speeds;
 
+pub use admission_controller::AdmissionController;
+pub use admission_gate::AdmissionGate;
+pub use admitted_shares::{AdmittedShares, KeyedShare, PriorityShare};
+pub use back_end_demand::BackEndDemand;
 pub use cold_gate::ColdGate;
 pub use customer_limits::CustomerLimits;
+pub use demand_counter::DemandCounter;
 pub use limit_issuer::LimitIssuer;
 pub use limit_settings::LimitSettings;
 pub use load_sample::LoadSample;
 pub use node_allowance::{CustomerUsage, NodeAllowance};
+pub use pooled_overload::PooledCapacity;
 pub use report_timing::ReportTiming;
+pub use request_class::RequestClass;
 pub use split_candidate::SplitCandidate;
 pub use target_load::{RunningGuard, TargetLoad};
 pub use target_picker::{PickCriteria, Picked, TargetPicker};
--- a/crates/admission/src/target_speeds.rs
+++ b/crates/admission/src/target_speeds.rs
@@ -201,6 +201,11 @@
         (mean_us / own_us).clamp(SPEED_RANGE.0, SPEED_RANGE.1)
     }
 
+    /// Returns the average queue length of a target in recent load reports.
+    pub fn mean_queue(&self, now: Instant, target: &TargetId) -> f64 {
+        self.averages.get(target).map_or(0.0, |averages| averages.at(now).mean_queue())
+    }
+
     /// Returns the capacity of a target for requests that must be answered within `objective`.
     /// `mean` is the average service time of its back end.
     pub fn capacity(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,4 +36,4 @@
 pub use reason::Reason;
 pub use sorted_vec::SortedVec;
 pub use store_time::StoreTime;
-pub use units::{ByteCount, PartsPerMillion, Requests, RequestsPerSecond, Weight};
+pub use units::{ByteCount, PartsPerMillion, Priority, Requests, RequestsPerSecond, Weight};
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -36,6 +36,19 @@
     "ppm"
 );
 
+number!(
+    /// Priority of a request; zero is the most urgent.
+    Priority,
+    u8,
+    "priority",
+    ""
+);
+
+impl Priority {
+    /// Priority of all requests on a site that does not distinguish priorities.
+    pub const NEUTRAL: Self = Self::new(0);
+}
+
 impl PartsPerMillion {
     /// The full share, 100 %.
     pub const ONE: Self = Self::new(1_000_000);
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 use wagtailmoor_configuration::{BackEndKind, IdempotencyKeyUse, ResolvedRoute};
 use wagtailmoor_core::{
-    Epoch, Incarnation, Instant, KeyHash, Outcome, Reason, SlotId, TargetId, Weight,
+    Epoch, Incarnation, Instant, KeyHash, Outcome, Priority, Reason, SlotId, TargetId, Weight,
 };
 use wagtailmoor_dispatch::{
     AttemptId, Fingerprint, Observation, RecordKey, RecordRefusal, RecordState, TimeBucket, Verdict,
@@ -457,6 +457,7 @@
             deadline: now + timeout,
             customer: route.customer.map(|customer| customer.customer.clone()),
             weight: route.customer.map_or(Weight::new(1), |customer| customer.weight),
+            priority: Priority::NEUTRAL,
             template: route.template.template.clone(),
             back_end: route.back_end.back_end.clone(),
             key,
--- a/crates/front/src/gateway.rs
+++ b/crates/front/src/gateway.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use wagtailmoor_core::{
-    BackEndId, CustomerId, Epoch, Instant, KeyDigest, KeyHash, Reason, ShardKey, SlotId, TargetId,
-    TemplateId, Weight,
+    BackEndId, CustomerId, Epoch, Instant, KeyDigest, KeyHash, Priority, Reason, ShardKey, SlotId,
+    TargetId, TemplateId, Weight,
 };
 use wagtailmoor_dispatch::{
     AttemptId, CrashLedger, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
@@ -52,6 +52,8 @@
     pub customer: Option<CustomerId>,
     /// Weight of the customer in fair queueing.
     pub weight: Weight,
+    /// Priority of the request: that of its customer or else that of its route.
+    pub priority: Priority,
     /// Template of the route.
     pub template: TemplateId,
     /// Back end of the route.
@@ -117,6 +119,10 @@
 
 /// Decides how each request is handled. All methods are called on the front end's thread.
 pub trait Gateway {
+    /// Whether a request is admitted before its body is read. If not, a client that sends its body
+    /// slowly holds no credit meanwhile.
+    const ADMITS_BEFORE_BODY: bool = false;
+
     /// Translation of HTTP header fields.
     type Dialect: Dialect;
     /// Credit for one request; returned on drop unless it was spent.
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -230,6 +230,10 @@
         let head = dialect.request_head(&parts).map_err(|refusal| self.refuse(refusal))?;
         let call = self.gateway.resolve(&head).map_err(|refusal| self.refuse(refusal))?;
         let call = Rc::new(call);
+        let credit = match G::ADMITS_BEFORE_BODY {
+            true => Some(self.admit(&call).await?),
+            false => None,
+        };
         let fault = FaultCell::default();
         let body = body::collect(incoming, self.limits.body_idle_timeout, &fault).await;
         let body = body.map_err(|fault| {
@@ -237,7 +241,7 @@
             self.gateway.on_refused(Some(&call), &refusal);
             refusal
         })?;
-        self.run(parts, call, body, fault).await
+        self.run(parts, call, body, fault, credit).await
     }
 
     /// Runs a pipelined request without a body before the earlier requests on its connection are
@@ -249,7 +253,12 @@
         let head = self.gateway.dialect().request_head(&parts).ok()?;
         let call = self.gateway.resolve(&head).ok().filter(|call| call.idempotent)?;
         let body = CollectedBody::Complete(Bytes::new());
-        Some(self.run(parts, Rc::new(call), body, FaultCell::default()).await)
+        Some(self.run(parts, Rc::new(call), body, FaultCell::default(), None).await)
+    }
+
+    async fn admit(&self, call: &Call) -> Result<G::Credit, Refusal> {
+        let admitted = self.gateway.admit(call).await;
+        admitted.inspect_err(|refusal| self.gateway.on_refused(Some(call), refusal))
     }
 
     async fn run(
@@ -258,6 +267,7 @@
         call: Rc<Call>,
         body: CollectedBody,
         fault: FaultCell,
+        credit: Option<G::Credit>,
     ) -> Result<Response<ResponseBody<G>>, Refusal> {
         let refuse = |refusal: Refusal| {
             self.gateway.on_refused(Some(&call), &refusal);
@@ -268,7 +278,10 @@
             .gateway
             .check_fingerprint(&call, parts.method.as_str(), path, body.prefix())
             .map_err(refuse)?;
-        let credit = self.gateway.admit(&call).await.map_err(refuse)?;
+        let credit = match credit {
+            Some(credit) => credit,
+            None => self.admit(&call).await?,
+        };
         self.gateway.claim_record(&call).await.map_err(refuse)?;
         let request = TargetRequest::new(self.gateway.dialect(), parts, &call);
         let (gateway, pool) = (Rc::clone(&self.gateway), Rc::clone(&self.pool));
--- a/crates/front/tests/support/gateway.rs
+++ b/crates/front/tests/support/gateway.rs
@@ -6,7 +6,8 @@
 
 use tokio::sync::Notify;
 use wagtailmoor_core::{
-    Epoch, Instant, KeyDigest, KeyHash, Outcome, Reason, ShardKey, SlotId, TargetId, Weight,
+    Epoch, Instant, KeyDigest, KeyHash, Outcome, Priority, Reason, ShardKey, SlotId, TargetId,
+    Weight,
 };
 use wagtailmoor_dispatch::{
     AttemptId, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
@@ -107,6 +108,7 @@
             deadline: now + head.deadline.unwrap_or(Duration::from_secs(60)),
             customer: Some("acme".parse().unwrap()),
             weight: Weight::new(1),
+            priority: Priority::NEUTRAL,
             template: "plain".parse().unwrap(),
             back_end: "shop".parse().unwrap(),
             key: (head.path == "/owned").then(|| KeyHash::of(b"cart")),
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -6,7 +6,8 @@
 use rand::RngExt;
 use wagtailmoor_admission::{LoadSample, RunningGuard};
 use wagtailmoor_core::{
-    BackEndId, CustomerId, Epoch, Instant, KeyHash, Outcome, Reason, SlotId, TargetId, Weight,
+    BackEndId, CustomerId, Epoch, Instant, KeyHash, Outcome, Priority, Reason, SlotId, TargetId,
+    Weight,
 };
 use wagtailmoor_dispatch::{
     AttemptId, BodyTimeout, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
@@ -15,6 +16,7 @@
 use wagtailmoor_site::{RouteRule, SiteConfig};
 use wagtailmoor_telemetry::Event;
 
+use crate::admission_control;
 use crate::log_lines;
 use crate::split::Split;
 use crate::state::{RouterState, Shared};
@@ -99,6 +101,9 @@
 }
 
 impl<D: Dialect<Load = LoadSample> + 'static> Gateway for RouterGateway<D> {
+    /// What exceeds a limit or the admitted share is refused before its body is read.
+    const ADMITS_BEFORE_BODY: bool = true;
+
     type Dialect = D;
     type Credit = CreditGuard;
     type Guard = RunningGuard;
@@ -127,6 +132,7 @@
             return Err(Refusal::not_run(Reason::RouteUnknown, "no route matches host and path"));
         };
         let customer = find_customer(config, route, head)?;
+        let priority = customer.as_ref().and_then(|customer| config.customer(customer)?.priority);
         let zone = &self.shared.settings.zone;
         let mut split = Split { now, zone, config, tables, registry, local_shares };
         let back_end = split.choose(route, head.shard_key, random);
@@ -141,6 +147,7 @@
             deadline,
             customer,
             weight: Weight::new(1),
+            priority: Priority::new(priority.unwrap_or(route.priority)),
             template: "route".parse().expect("a literal id is valid"),
             back_end,
             key: shard_key.map(|key| KeyHash::of(&key.get().to_be_bytes())),
@@ -191,7 +198,12 @@
                     .with_retry_after(wait.max(RATE_RETRY_AFTER_MIN))
             })?;
         }
-        Ok(CreditGuard { shared: Rc::clone(&self.shared), customer: call.customer.clone() })
+        let admitted = admission_control::admit(&mut state, now, call, BUSY_RETRY_AFTER);
+        drop(state);
+        let credit =
+            CreditGuard { shared: Rc::clone(&self.shared), customer: call.customer.clone() };
+        // A request that is not admitted refunds the credit.
+        admitted.map(|()| credit)
     }
 
     fn spend(&self, mut credit: CreditGuard) {
@@ -208,12 +220,7 @@
         tried: &[TargetId],
     ) -> Result<AssignedTarget<RunningGuard>, Reason> {
         let (target, picked) = match call.shard_key {
-            Some(key) => {
-                if tried.is_empty() {
-                    self.shared.write().count_key(&call.back_end, key);
-                }
-                target_choice::find_owner(&self.shared, call, key, tried).await?
-            }
+            Some(key) => target_choice::find_owner(&self.shared, call, key, tried).await?,
             None => target_choice::pick(&self.shared, call, tried)?,
         };
         log_lines::assigned(call, &target, &picked, tried.len(), &self.shared.read()).info();
--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -14,11 +14,11 @@
 use wagtailmoor_store::{ConfirmedOutcome, RowWrite, Table, write_and_confirm};
 use wagtailmoor_telemetry::Event;
 
+use crate::admission_control;
 use crate::feeds::RANGES_TABLE;
 use crate::granter::{Granter, GranterId};
 use crate::leader_loop::write_id;
 use crate::state::{RouterState, Shared};
-use crate::target_choice::DEFAULT_LATENCY;
 use crate::target_control::{GrantCall, ReleaseCall, TargetControl};
 
 /// Longest time between two ticks of the assigners.
@@ -28,9 +28,6 @@
 /// hundreds of grants are answered each second.
 const TICK_INTERVAL_MIN: Duration = Duration::from_millis(15);
 
-/// Interval at which the admitted shares of ranges are computed.
-const SHARES_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Runs the assigners until the process stops.
 pub(crate) async fn run<T: Table + 'static, C: TargetControl + 'static>(
     shared: Shared,
@@ -41,6 +38,7 @@
         // A notification ends the wait, but not before the shortest interval has passed.
         sleep(TICK_INTERVAL_MIN).await;
         drop(timeout(TICK_INTERVAL_MAX - TICK_INTERVAL_MIN, shared.assigner_due.notified()).await);
+        admission_control::update_pooled(&shared);
         let back_ends = keyed_back_ends(&shared.read());
         for back_end in back_ends {
             let Some(term) = current_term(&shared) else { break };
@@ -130,9 +128,9 @@
     let (term, authority) = (state.lease.term(now)?, state.lease.authority(now)?);
     state.remove_expired_targets(now);
     let state = &mut *state;
-    let mean = mean_service_time(state, now, back_end);
+    let mean = state.mean_service_time(now, back_end);
     let members = members(state, now, back_end, mean);
-    update_shares(state, now, back_end, mean);
+    admission_control::update_keyed(state, now, back_end, mean);
     let granter = state.granters.get_mut(back_end)?;
     if granter.generation != term {
         return None;
@@ -163,32 +161,6 @@
         .collect()
 }
 
-/// Returns the mean service time of a back end's targets, or the default without recent answers.
-fn mean_service_time(state: &RouterState, now: Instant, back_end: &BackEndId) -> Duration {
-    let all = state.registry.targets_of(back_end).map(|target| &target.target);
-    state.speeds.mean_service_time(now, all).unwrap_or(DEFAULT_LATENCY)
-}
-
-/// Computes the admitted shares of ranges that get more requests than their owners can run in time.
-fn update_shares(state: &mut RouterState, now: Instant, back_end: &BackEndId, mean: Duration) {
-    if state.shares_computed_at.get(back_end).is_some_and(|at| now < *at + SHARES_INTERVAL) {
-        return;
-    }
-    let objective = state.config.as_ref().and_then(|config| config.objective(back_end));
-    let (Some(objective), Some(Granter { assigner, .. })) =
-        (objective, state.granters.get(back_end))
-    else {
-        return;
-    };
-    let capacity = |process: &TargetProcess| {
-        let target = state.registry.get(&process.target)?;
-        Some(state.speeds.capacity(now, target, mean, objective))
-    };
-    let shares = assigner.limited_shares(now, capacity);
-    state.shares_computed_at.insert(back_end.clone(), now);
-    state.shares.insert(back_end.clone(), shares);
-}
-
 fn row_name(back_end: &BackEndId) -> String {
     format!("{RANGES_TABLE}/{back_end}")
 }
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -103,8 +103,7 @@
     if before.is_some() && before != current {
         Event::new("leader-lost").warn();
         state.granters.clear();
-        state.shares.clear();
-        state.shares_computed_at.clear();
+        state.admission.clear();
     }
     match state.lease.authority(now) {
         Some(authority) if before != current => {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,7 +4,7 @@
 //! platform implements four traits: [`SiteDecoder`], [`TargetControl`], and the store's `Table` and
 //! `ChangeFeed`. The front end's `Dialect` translates messages of clients and targets.
 
-mod admitted_shares;
+mod admission_control;
 mod boot_clock;
 mod change_source;
 mod feeds;
--- a/crates/router/src/log_lines.rs
+++ b/crates/router/src/log_lines.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use wagtailmoor_admission::Picked;
-use wagtailmoor_core::{ConfigVersion, Instant, PartsPerMillion, TargetId};
+use wagtailmoor_core::{ConfigVersion, Instant, PartsPerMillion};
 use wagtailmoor_dispatch::Verdict;
 use wagtailmoor_front::{Call, Refusal};
 use wagtailmoor_site::Target;
@@ -81,15 +81,10 @@
     with_inputs(event, state, now)
 }
 
-/// The line of a request that is withheld from its overloaded owner.
-pub(crate) fn withheld(
-    call: &Call,
-    owner: &TargetId,
-    admitted: PartsPerMillion,
-    leader_age: Duration,
-) -> Event {
+/// The line of a request that is withheld from its overloaded back end.
+pub(crate) fn withheld(call: &Call, admitted: PartsPerMillion, leader_age: Duration) -> Event {
     with_call(Event::new("withheld"), call)
-        .field("target", owner)
+        .field("priority", call.priority)
         .field("admitted_ppm", admitted.get())
         .field("leader_age_ms", leader_age.as_millis())
 }
--- a/crates/router/src/metrics_page.rs
+++ b/crates/router/src/metrics_page.rs
@@ -27,6 +27,15 @@
     for (name, count) in state.stats.counters() {
         write_line(&mut page, "wagtailmoor_events_total", &format!("event=\"{name}\""), *count);
     }
+    for ((back_end, priority), count) in state.stats.withheld() {
+        let labels = format!("back_end=\"{back_end}\",priority=\"{priority}\"");
+        write_line(&mut page, "wagtailmoor_withheld_total", &labels, *count);
+    }
+    for ((back_end, priority), admitted) in state.admission.lowest_shares().iter() {
+        let labels = format!("back_end=\"{back_end}\",priority=\"{priority}\"");
+        let admitted_ppm = u64::from(admitted.get());
+        write_line(&mut page, "wagtailmoor_admitted_ppm", &labels, admitted_ppm);
+    }
     let dropped = wagtailmoor_telemetry::dropped_lines();
     write_line(&mut page, "wagtailmoor_log_lines_dropped_total", "", dropped);
     let version = state.config.as_ref().map_or(0, |config| config.version().get());
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use snafu::Snafu;
-use wagtailmoor_admission::{CustomerUsage, NodeAllowance, TargetObservations};
-use wagtailmoor_core::{BackEndId, NodeId, RowVersion, ShardKey};
+use wagtailmoor_admission::{
+    AdmittedShares, BackEndDemand, CustomerUsage, NodeAllowance, TargetObservations,
+};
+use wagtailmoor_core::{BackEndId, NodeId, Priority, RowVersion, ShardKey};
 use wagtailmoor_derive::value;
 use wagtailmoor_dispatch::{LedgerVersion, SuspectReport, SuspectUpdate};
-use wagtailmoor_ranges::RangeShare;
 use wagtailmoor_store::CompressedPage;
 
 use crate::NodeAddress;
@@ -19,11 +20,11 @@
 #[snafu(display("the node is stopping"))]
 pub(crate) struct Stopping;
 
-/// Number of requests on each key of a back end.
+/// Number of requests on each key of a back end, by priority.
 #[value]
 pub(crate) struct KeyCounts {
     pub(crate) back_end: BackEndId,
-    pub(crate) keys: Vec<(ShardKey, u32)>,
+    pub(crate) keys: Vec<((ShardKey, Priority), u32)>,
 }
 
 /// A node's report to the leader, with its counts since the last report.
@@ -33,6 +34,8 @@
     /// Version of the list of nodes that the reporting node has.
     pub(crate) nodes_version: u64,
     pub(crate) keys: Vec<KeyCounts>,
+    /// Requests for pooled back ends.
+    pub(crate) demand: Vec<BackEndDemand>,
     /// Usage of customers' limits since the last report.
     pub(crate) used: Vec<CustomerUsage>,
     /// Requests during which this node lost targets and that the leader has not confirmed yet.
@@ -63,8 +66,8 @@
     /// Number of nodes by which limits are divided.
     pub(crate) site_nodes: u32,
     pub(crate) allowances: Vec<NodeAllowance>,
-    /// Admitted shares of ranges that get more requests than their owners can run in time.
-    pub(crate) shares: Vec<(BackEndId, Vec<RangeShare>)>,
+    /// Admitted shares of back ends that get more requests than can be run in time.
+    pub(crate) shares: Vec<AdmittedShares>,
     /// Requests that crash targets and that the caller does not know yet.
     pub(crate) suspects: SuspectUpdate,
 }
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -70,6 +70,7 @@
         nodes_version: state.nodes_version,
         can_lead: now.saturating_since(state.store_last_contact) < STORE_CONTACT_AGE_MAX,
         keys,
+        demand: state.demand.take(),
         used: state.customers.take_usage(),
         suspects: state.ledger.unconfirmed_reports(now),
         ledger_version: state.ledger_version,
@@ -102,7 +103,7 @@
         state.nodes_version = reply.nodes_version;
     }
     state.customers.apply_reply(now, reply.allowances, reply.site_nodes);
-    state.admitted_shares.replace(now, reply.shares);
+    state.admission_gate.replace(now, reply.shares);
 }
 
 /// Answers a report. Only the leader divides limits and counts keys.
@@ -130,10 +131,14 @@
     };
     if leads {
         for counts in &report.keys {
-            if let Some(Granter { assigner, .. }) = state.granters.get_mut(&counts.back_end) {
-                counts.keys.iter().for_each(|(key, requests)| assigner.add_load(*key, *requests));
+            for ((key, priority), requests) in &counts.keys {
+                if let Some(Granter { assigner, .. }) = state.granters.get_mut(&counts.back_end) {
+                    assigner.add_load(*key, *requests);
+                }
+                state.admission.add_key_demand(now, &counts.back_end, *key, *priority, *requests);
             }
         }
+        state.admission.add_demand(now, &report.demand);
         state.speeds.add_observations(now, &report.service);
         let node = report.from.node.clone();
         let rules = || state.config.iter().flat_map(|config| config.customers());
@@ -141,8 +146,7 @@
         state.issuer.record_usage(now, &node, &report.used);
         let previous = state.reporters.insert(node.clone(), report.from.clone());
         state.reporters_changed |= previous.is_none_or(|previous| previous != report.from);
-        reply.shares =
-            state.shares.iter().map(|(id, shares)| (id.clone(), shares.clone())).collect();
+        reply.shares = state.admission.shares();
         reply.allowances = state.issuer.allowances(now, &node, rules());
         reply.site_nodes = state.issuer.nodes(now);
         update_node_list(state, now);
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -2,24 +2,26 @@
 
 use std::cell::{Ref, RefCell, RefMut};
 use std::rc::Rc;
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 use wagtailmoor_admission::{
-    ColdGate, CustomerLimits, LimitIssuer, LimitSettings, TargetPicker, TargetSpeeds,
+    AdmissionController, AdmissionGate, ColdGate, CustomerLimits, DemandCounter, LimitIssuer,
+    LimitSettings, TargetPicker, TargetSpeeds,
 };
 use wagtailmoor_core::{
-    BackEndId, Clock, Incarnation, Instant, NodeId, PartsPerMillion, ShardKey, SortedVec, TargetId,
+    BackEndId, Clock, Incarnation, Instant, NodeId, PartsPerMillion, Priority, ShardKey, SortedVec,
+    TargetId,
 };
 use wagtailmoor_dispatch::{CrashLedger, CrashSettings, LedgerVersion, UnansweredRequests};
 use wagtailmoor_limits::RetryBudget;
-use wagtailmoor_ranges::{AssignmentTable, RangeShare};
+use wagtailmoor_ranges::AssignmentTable;
 use wagtailmoor_site::{Registry, SiteConfig};
 use wagtailmoor_telemetry::Event;
 
 use crate::NodeAddress;
-use crate::admitted_shares::AdmittedShares;
 use crate::boot_clock::BootClock;
 use crate::change_source::ChangeSource;
 use crate::granters::Granters;
@@ -30,6 +32,7 @@
 use crate::row_cache::RowCache;
 use crate::split::LocalShare;
 use crate::stats::Stats;
+use crate::target_choice::DEFAULT_LATENCY;
 
 /// Distinct losses of targets after which a request is refused as one that crashes targets.
 const LOSSES_TO_REFUSE: usize = 2;
@@ -63,17 +66,17 @@
     /// Version of the leader's crash ledger that this node has merged.
     pub(crate) ledger_version: LedgerVersion,
     pub(crate) budgets: SortedVec<BackEndId, RetryBudget>,
-    pub(crate) key_counts: SortedVec<BackEndId, SortedVec<ShardKey, u32>>,
+    pub(crate) key_counts: SortedVec<BackEndId, SortedVec<(ShardKey, Priority), u32>>,
+    /// Requests for pooled back ends since the last report.
+    pub(crate) demand: DemandCounter,
     pub(crate) rows: RowCache,
     /// Version of the list of nodes; the leader raises it with each change.
     pub(crate) nodes_version: u64,
     pub(crate) lease: LeaderLease,
-    /// Admitted shares of overloaded ranges, as the leader sent them.
-    pub(crate) admitted_shares: AdmittedShares,
-    /// Shares that this process computed as the leader.
-    pub(crate) shares: SortedVec<BackEndId, Vec<RangeShare>>,
-    /// When this process last computed the shares of each back end.
-    pub(crate) shares_computed_at: SortedVec<BackEndId, Instant>,
+    /// Admitted shares of overloaded back ends, as the leader sent them.
+    pub(crate) admission_gate: AdmissionGate,
+    /// Computes the admitted shares; used only while this process leads.
+    pub(crate) admission: AdmissionController,
     /// Assign ranges while this process leads.
     pub(crate) granters: Granters,
     /// Speeds of targets; used only while this process leads.
@@ -157,12 +160,12 @@
             ledger_version: LedgerVersion::default(),
             budgets: SortedVec::new(),
             key_counts: SortedVec::new(),
+            demand: DemandCounter::default(),
             rows: RowCache::default(),
             nodes_version: 0,
             lease,
-            admitted_shares: AdmittedShares::default(),
-            shares: SortedVec::new(),
-            shares_computed_at: SortedVec::new(),
+            admission_gate: AdmissionGate::default(),
+            admission: AdmissionController::default(),
             granters: Granters::default(),
             speeds: TargetSpeeds::default(),
             leading_since: now,
@@ -228,11 +231,10 @@
         !self.is_stopping() && self.config.is_some()
     }
 
-    /// Counts a request on a key. Called only for requests that their customer's limit admits;
-    /// others load no target.
-    pub(crate) fn count_key(&mut self, back_end: &BackEndId, key: ShardKey) {
+    /// Counts a request on a key.
+    pub(crate) fn count_key(&mut self, back_end: &BackEndId, key: ShardKey, priority: Priority) {
         let counts = self.key_counts.get_or_insert_with(back_end.clone(), Default::default);
-        *counts.get_or_insert_with(key, || 0) += 1;
+        *counts.get_or_insert_with((key, priority), || 0) += 1;
     }
 
     /// Returns the newest leader's row that this node knows, to relay it to other nodes.
@@ -253,6 +255,12 @@
         self.customers.assume_nodes(now, self.lease.nodes());
     }
 
+    /// Returns the mean service time of a back end's targets, or the default without recent answers.
+    pub(crate) fn mean_service_time(&self, now: Instant, back_end: &BackEndId) -> Duration {
+        let all = self.registry.targets_of(back_end).map(|target| &target.target);
+        self.speeds.mean_service_time(now, all).unwrap_or(DEFAULT_LATENCY)
+    }
+
     /// Removes targets that have been missing for too long, with their measurements.
     pub(crate) fn remove_expired_targets(&mut self, now: Instant) {
         for target in self.registry.expire(now) {
--- a/crates/router/src/stats.rs
+++ b/crates/router/src/stats.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtailmoor_core::{BackEndId, CustomerId, Outcome, Reason, SortedVec, millis};
+use wagtailmoor_core::{BackEndId, CustomerId, Outcome, Priority, Reason, SortedVec, millis};
 
 /// Upper bounds of the latency buckets, in milliseconds.
 pub(crate) const LATENCY_BOUNDS_MS: [u64; 10] =
@@ -39,6 +39,7 @@
 pub(crate) struct Stats {
     requests: SortedVec<RequestLabels, RequestCounts>,
     counters: SortedVec<&'static str, u64>,
+    withheld: SortedVec<(BackEndId, Priority), u64>,
 }
 
 impl Stats {
@@ -76,6 +77,16 @@
         sum
     }
 
+    /// Counts a request that was withheld from its overloaded back end.
+    pub(crate) fn count_withheld(&mut self, back_end: &BackEndId, priority: Priority) {
+        *self.withheld.get_or_insert_with((back_end.clone(), priority), || 0) += 1;
+    }
+
+    /// Iterates over the counters of withheld requests.
+    pub(crate) fn withheld(&self) -> impl Iterator<Item = (&(BackEndId, Priority), &u64)> {
+        self.withheld.iter()
+    }
+
     /// Iterates over the event counters.
     pub(crate) fn counters(&self) -> impl Iterator<Item = (&&'static str, &u64)> {
         self.counters.iter()
--- a/crates/router/src/target_choice.rs
+++ b/crates/router/src/target_choice.rs
@@ -8,7 +8,6 @@
 use wagtailmoor_front::Call;
 use wagtailmoor_site::{BackEndRule, Target};
 
-use crate::log_lines;
 use crate::state::{RouterState, Shared};
 
 /// A request waits at most this long for a key that has no owner. The keys of a lost target have
@@ -86,15 +85,6 @@
             return OwnerLookup::Refuse(Reason::TargetUnavailable);
         }
     }
-    let withheld = match tried.is_empty() {
-        true => state.admitted_shares.withheld(now, &call.back_end, key, &mut state.random),
-        false => None,
-    };
-    if let Some(share) = withheld {
-        let leader_age = now.saturating_since(state.leader_last_contact);
-        log_lines::withheld(call, &target.target, share, leader_age).info();
-        return OwnerLookup::Refuse(Reason::QueueFull);
-    }
     let load = state.picker.load(&target.target);
     if load.is_excluded(now) {
         return OwnerLookup::Refuse(Reason::OwnerUnreachable);
