--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -6,8 +6,8 @@
 use rand::RngExt;
 use wagtailmoor_admission::{LoadSample, RunningGuard, UnansweredGuard};
 use wagtailmoor_core::{
-    BackEndId, CustomerId, Epoch, Instant, KeyHash, Outcome, Reason, SlotId, TargetId, TemplateId,
-    Weight,
+    BackEndId, CustomerId, Epoch, Instant, KeyHash, Outcome, Priority, Reason, SlotId, TargetId,
+    TemplateId, Weight,
 };
 use wagtailmoor_dispatch::{
     AttemptId, BodyTimeout, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
@@ -17,6 +17,7 @@
 use wagtailmoor_site::{RouteRule, SiteConfig};
 use wagtailmoor_telemetry::{Event, TrafficMeter};
 
+use crate::admission_control;
 use crate::log_lines;
 use crate::rollouts;
 use crate::room_at_targets;
@@ -118,6 +119,9 @@
 }
 
 impl<D: Dialect<Load = LoadSample> + 'static> Gateway for RouterGateway<D> {
+    /// What exceeds a limit or the admitted share is refused before its body is read.
+    const ADMITS_BEFORE_BODY: bool = true;
+
     type Dialect = D;
     type Credit = CreditGuard;
     type Guard = AttemptGuard;
@@ -146,6 +150,10 @@
             return Err(Refusal::not_run(Reason::RouteUnknown, "no route matches host and path"));
         };
         let customer = find_customer(config, route, head)?;
+        let priority = match self.shared.settings.controls_load(config) {
+            true => effective_priority(config, route, customer.as_ref()),
+            false => Priority::default(),
+        };
         let zone = &self.shared.settings.zone;
         let mut split = Split { now, zone, config, tables, registry, local_shares };
         let back_end = split.choose(route, head.shard_key, random);
@@ -160,6 +168,7 @@
             deadline,
             customer,
             weight: Weight::new(1),
+            priority,
             template: template(route),
             back_end,
             key: shard_key.map(|key| KeyHash::of(&key.get().to_be_bytes())),
@@ -214,7 +223,12 @@
                     .with_retry_after(wait.max(RATE_RETRY_AFTER_MIN))
             })?;
         }
-        Ok(CreditGuard { shared: Rc::clone(&self.shared), customer: call.customer.clone() })
+        let admitted = admission_control::admit(&mut state, now, call, BUSY_RETRY_AFTER);
+        drop(state);
+        let credit =
+            CreditGuard { shared: Rc::clone(&self.shared), customer: call.customer.clone() };
+        // A request that is not admitted refunds the credit.
+        admitted.map(|()| credit)
     }
 
     fn spend(&self, mut credit: CreditGuard) {
@@ -236,12 +250,7 @@
             return Err(Reason::QueueFull);
         }
         let (target, picked) = match call.shard_key {
-            Some(key) => {
-                if tried.is_empty() {
-                    self.shared.write().count_key(&call.back_end, key);
-                }
-                target_choice::find_owner(&self.shared, call, key, tried).await?
-            }
+            Some(key) => target_choice::find_owner(&self.shared, call, key, tried).await?,
             None => target_choice::pick(&self.shared, call, tried)?,
         };
         log_lines::assigned(call, &target, &picked, tried.len(), &self.shared.read()).info();
@@ -436,6 +445,16 @@
     }
 }
 
+/// Returns the priority of a request: that of its customer, or else that of its route.
+fn effective_priority(
+    config: &SiteConfig,
+    route: &RouteRule,
+    customer: Option<&CustomerId>,
+) -> Priority {
+    let of_customer = customer.and_then(|customer| config.customer(customer)?.priority);
+    Priority::new(of_customer.unwrap_or(route.priority))
+}
+
 /// Returns an id made of a route's name. Names that differ only in characters that an id cannot
 /// have share their id.
 fn template(route: &RouteRule) -> TemplateId {
--- a/crates/router/src/node_settings.rs
+++ b/crates/router/src/node_settings.rs
@@ -5,6 +5,7 @@
 
 use wagtailmoor_core::{Incarnation, NodeId, PartsPerMillion, ZoneId};
 use wagtailmoor_rollout::RolloutSettings;
+use wagtailmoor_site::SiteConfig;
 
 use crate::NodeAddress;
 
@@ -56,6 +57,11 @@
 }
 
 impl NodeSettings {
+    /// Returns whether targets are limited over all nodes and requests are admitted by priority.
+    pub(crate) fn controls_load(&self, _config: &SiteConfig) -> bool {
+        self.load_control
+    }
+
     /// Returns the entry of this node in the list of nodes.
     pub(crate) fn address(&self) -> NodeAddress {
         NodeAddress {
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -66,12 +66,14 @@
         .map(|(back_end, keys)| KeyCounts { back_end, keys: keys.into_iter().collect() })
         .collect();
     let room = state.room.take_report(now);
-    let room = if settings.load_control { room } else { RoomReport::default() };
+    let controls_load = state.config.as_ref().is_some_and(|config| settings.controls_load(config));
+    let room = if controls_load { room } else { RoomReport::default() };
     NodeReport {
         from: settings.address(),
         nodes_version: state.nodes_version,
         can_lead: now.saturating_since(state.store_last_contact) < STORE_CONTACT_AGE_MAX,
         keys,
+        demand: state.demand.take(),
         used: state.customers.take_usage(),
         suspects: state.ledger.unconfirmed_reports(now),
         ledger_version: state.ledger_version,
@@ -106,7 +108,7 @@
         state.nodes_version = reply.nodes_version;
     }
     state.customers.apply_reply(now, reply.allowances, reply.site_nodes);
-    state.admitted_shares.replace(now, reply.shares);
+    state.admission_gate.replace(now, reply.shares);
     rollouts::apply(&mut state, now, reply.rollouts);
     let RouterState { room, random, .. } = &mut *state;
     room.apply_reply(now, reply.room, random);
@@ -139,10 +141,14 @@
     };
     if leads {
         for counts in &report.keys {
-            if let Some(Granter { assigner, .. }) = state.granters.get_mut(&counts.back_end) {
-                counts.keys.iter().for_each(|(key, requests)| assigner.add_load(*key, *requests));
+            for ((key, priority), requests) in &counts.keys {
+                if let Some(Granter { assigner, .. }) = state.granters.get_mut(&counts.back_end) {
+                    assigner.add_load(*key, *requests);
+                }
+                state.admission.add_key_demand(now, &counts.back_end, *key, *priority, *requests);
             }
         }
+        state.admission.add_demand(now, &report.demand);
         state.speeds.add_observations(now, &report.service);
         let node = report.from.node.clone();
         let rules = || state.config.iter().flat_map(|config| config.customers());
@@ -150,8 +156,7 @@
         state.issuer.record_usage(now, &node, &report.used);
         let previous = state.reporters.insert(node.clone(), report.from.clone());
         state.reporters_changed |= previous.is_none_or(|previous| previous != report.from);
-        reply.shares =
-            state.shares.iter().map(|(id, shares)| (id.clone(), shares.clone())).collect();
+        reply.shares = state.admission.shares();
         let registry = &state.registry;
         state.room_allocator.record(now, &node, &report.room, |target| registry.get(target));
         let back_end = |id: &_| state.config.as_ref().and_then(|config| config.back_end(id));
--- a/crates/router/src/room_at_targets.rs
+++ b/crates/router/src/room_at_targets.rs
@@ -34,7 +34,7 @@
     let Err(admitted) = state.room.admit_keyed(now, &owner) else { return Ok(()) };
     // The balancer moves keys by the requests that arrive, also by those that are refused.
     if let Some(key) = call.shard_key {
-        state.count_key(&call.back_end, key);
+        state.count_key(&call.back_end, key, call.priority);
     }
     state.stats.count("target-full");
     log_full(call, &owner, admitted);
