Tell row versions of different eras of the store apart

Cause: a store that comes back from an older copy issues the versions of rows again, so a conditional write or a feed takes another content for the one it knows. Change: the header Store-Era is read from every answer. RowVersion holds the era in its upper bits; the client of the store refuses writes on versions of a former era, discards answers of a former era, and reports the history as lost to a feed whose position is of a former era. Without the header the numbers are unchanged.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 mod macros;
 
 mod clock;
+mod era_parts;
 mod ids;
 mod instant;
 mod key_digest;
--- a/crates/store/src/change_feed.rs
+++ b/crates/store/src/change_feed.rs
@@ -31,8 +31,8 @@
 /// An error of a feed request.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum FeedError {
-    /// The store has discarded some changes after the requested version; the caller must read a
-    /// snapshot.
+    /// The store has discarded some changes after the requested version, or was restored from a copy
+    /// that does not have this version; the caller must read a snapshot.
     #[snafu(display("the store no longer keeps the changes after the requested version"))]
     HistoryLost,
     /// The store is down, overloaded or unreachable.
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use serde_json::Value;
-use wagtailmoor_core::{RowVersion, WriteId};
+use wagtailmoor_core::{RowVersion, StoreEra, WriteId};
 
 use crate::StoreError;
 
@@ -60,6 +60,12 @@
 
 /// A transactional table with conditional writes.
 pub trait Table {
+    /// Returns the highest era of the store that any of its answers stated. The versions of rows
+    /// contain the era too; this one is also known if a row does not exist.
+    fn era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
     /// Reads a row; `None` if it does not exist.
     fn read(&self, row: &str) -> impl Future<Output = Result<Option<Row>, StoreError>>;
 
