Continue the assigner of ranges after a restore of the store

Cause: owners that a restored store brings back may have lost their keys, and fencing tokens counted from them were used before. Change: fencing tokens hold the era of the store in their high part. An assigner continues in a new era after it stored the owners again under new tokens, or starts without known owners and waits until all grants have expired. The world of the schedules restores older tables and issues versions again.

--- a/crates/ranges/src/range_assigner.rs
+++ b/crates/ranges/src/range_assigner.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtailmoor_core::{Epoch, Instant, ShardKey, SortedVec, TargetId};
+use wagtailmoor_core::{Epoch, Instant, ShardKey, SortedVec, StoreEra, TargetId};
 
 use crate::range_entry::{RangeEntry, RangeState};
 use crate::range_list::RangeList;
@@ -71,6 +71,11 @@
     store_at: Instant,
     members_changed_at: Instant,
     started_at: Instant,
+    /// Whether the owners must be stored before any other command.
+    must_store: bool,
+    /// Until then, another leader of a former era may have renewed grants of any range that this
+    /// process knows to be free.
+    others_until: Instant,
 }
 
 impl RangeAssigner {
@@ -128,9 +133,56 @@
             store_at: now,
             members_changed_at: now,
             started_at: now,
+            must_store: false,
+            others_until: Instant::default(),
         }
     }
 
+    /// Starts without knowing the owners, because the store was restored from an older copy. All
+    /// grants must expire first; `known` is a table of the past to which ranges return if possible.
+    pub fn after_restore(
+        now: Instant,
+        settings: AssignerSettings,
+        authority: Authority,
+        known: Option<&AssignmentTable>,
+    ) -> Self {
+        let mut assigner = Self::new(now, settings, authority, None);
+        let expires = assigner.others_expire(now);
+        assigner.ranges =
+            RangeList::expiring(expires, known.unwrap_or(&AssignmentTable::default()));
+        assigner
+    }
+
+    /// Uses only fencing tokens of this era of the store, or of a later one, for what is assigned
+    /// from now on.
+    pub fn in_era(mut self, era: StoreEra) -> Self {
+        self.ranges.mark_former_eras_used(era);
+        self
+    }
+
+    /// Continues in a new era of the store, which may have lost the newest owners. They are stored
+    /// again under new fencing tokens before the next grant or release.
+    pub fn enter_era(&mut self, now: Instant, era: StoreEra) {
+        let others_expire = self.others_expire(self.authority.sole_from);
+        self.ranges.enter_era(now, era, others_expire);
+        self.others_until = others_expire;
+        self.storing = None;
+        self.store_at = now;
+        self.must_store = true;
+    }
+
+    /// Stores the owners again before the next command, because another content was stored.
+    pub fn store_again(&mut self, now: Instant) {
+        self.store_at = now;
+        self.must_store = true;
+    }
+
+    /// Returns when a grant has expired that was sent at `last_renewal` at the latest.
+    fn others_expire(&self, last_renewal: Instant) -> Instant {
+        let last_renewal = last_renewal.max(self.authority.sole_from);
+        last_renewal + self.settings.call_timeout + self.settings.grant_validity_max()
+    }
+
     /// Sets the period in which this process may act as leader.
     pub fn set_authority(&mut self, authority: Authority) {
         self.authority = authority;
@@ -199,6 +251,9 @@
         if !self.authority.may_renew(now) {
             return Vec::new();
         }
+        if self.must_store {
+            return self.store(now).into_iter().collect();
+        }
         self.recently_exited.retain(|(_, until)| *until > now);
         self.unreachable.retain(|(_, until)| *until > now);
         self.update_lost_owners(now);
@@ -324,6 +379,7 @@
         if outcome != StoreOutcome::Stored {
             return;
         }
+        self.must_store = false;
         for entry in self.ranges.iter_mut() {
             let included = stored.contains(&(entry.range, entry.epoch));
             if included && entry.state == RangeState::Storing {
@@ -490,7 +546,7 @@
 
     /// Assigns owners to vacant ranges.
     fn assign_vacant(&mut self, now: Instant) {
-        if !self.can_assign(now) {
+        if now < self.others_until || !self.can_assign(now) {
             return;
         }
         let may_move = self.authority.may_move(now);
@@ -617,11 +673,14 @@
         commands
     }
 
-    /// Returns a write of the table if a new assignment is not stored yet.
+    /// Returns a write of the table if it must be stored again, or a new assignment is not stored yet.
     fn store(&mut self, now: Instant) -> Option<Command> {
         let unstored = self.ranges.iter().filter(|entry| entry.state == RangeState::Storing);
         let unstored: Vec<_> = unstored.map(|entry| (entry.range, entry.epoch)).collect();
-        if unstored.is_empty() || self.storing.is_some() || now < self.store_at {
+        if (unstored.is_empty() && !self.must_store)
+            || self.storing.is_some()
+            || now < self.store_at
+        {
             return None;
         }
         self.store_at = now + self.settings.store_interval;
--- a/crates/ranges/src/range_list.rs
+++ b/crates/ranges/src/range_list.rs
@@ -2,7 +2,7 @@
 
 use std::slice::{Iter, IterMut};
 
-use wagtailmoor_core::{Epoch, Instant};
+use wagtailmoor_core::{Epoch, Instant, StoreEra};
 
 use crate::range_entry::{RangeEntry, RangeState};
 use crate::release::Release;
@@ -45,6 +45,61 @@
         list
     }
 
+    /// Creates the list of a back end whose owners are not known. All grants expire at `expires` at
+    /// the latest. Ranges then return to the owners in `known` where these can own them.
+    pub(crate) fn expiring(expires: Instant, known: &AssignmentTable) -> Self {
+        let vacant = |range, to| RangeEntry {
+            state: RangeState::Vacant { free_from: expires, to },
+            ..RangeEntry::unassigned(range, expires)
+        };
+        let known_ranges = known.iter().map(|known| vacant(known.range, Some(known.owner.clone())));
+        let gaps = known.gaps().into_iter().map(|range| vacant(range, None));
+        let last_epoch = Epoch::new(known.last_epoch().get() + EPOCH_GAP);
+        let mut list = Self { entries: known_ranges.chain(gaps).collect(), last_epoch };
+        list.sort();
+        list
+    }
+
+    /// Marks all epochs as used that were issued before an era.
+    pub(crate) fn mark_former_eras_used(&mut self, era: StoreEra) {
+        self.last_epoch = self.last_epoch.max(Epoch::base_of(era));
+    }
+
+    /// Gives each owner an epoch of a new era. No grant that any process sent before expires before
+    /// `others_expire`. The next grants and releases use the new epochs; the outcomes of those in
+    /// flight no longer count.
+    pub(crate) fn enter_era(&mut self, now: Instant, era: StoreEra, others_expire: Instant) {
+        self.mark_former_eras_used(era);
+        for index in 0..self.entries.len() {
+            let epoch = self.allocate_epoch();
+            let release_epoch = self.allocate_epoch();
+            let entry = &mut self.entries[index];
+            entry.expires = entry.expires.max(others_expire);
+            // A grant in flight may have been accepted.
+            entry.confirmed_expires = entry.expires;
+            entry.in_flight = false;
+            entry.epoch = epoch;
+            match &mut entry.state {
+                RangeState::Granted { renew_at } => *renew_at = now,
+                RangeState::Releasing(release) => {
+                    release.epoch = release_epoch;
+                    release.in_flight = false;
+                    release.call_at = now;
+                }
+                RangeState::Vacant { free_from, .. } => {
+                    *free_from = (*free_from).max(others_expire)
+                }
+                // Another leader may have granted the range to its previous owner again, by a table
+                // without this assignment, which the restore lost.
+                RangeState::Storing if now < others_expire => {
+                    let to = entry.owner.take();
+                    entry.state = RangeState::Vacant { free_from: others_expire, to };
+                }
+                RangeState::Storing => {}
+            }
+        }
+    }
+
     /// Returns the table to store.
     pub(crate) fn table(&self) -> AssignmentTable {
         let mut table = AssignmentTable::default();
--- a/crates/ranges/tests/schedules.rs
+++ b/crates/ranges/tests/schedules.rs
@@ -42,6 +42,34 @@
     assert!(moves > seed_count(), "the schedules move keys");
 }
 
+// Guards against two owners of a key and against epochs that do not rise, when the store is restored
+// from an older table at random moments and issues its versions again, so that leaders act by owners
+// that the store no longer has and late writes replace newer ones.
+#[test]
+fn restores_of_the_store_give_no_key_two_owners() {
+    let mut moves = 0;
+    for seed in seeds(seed_count()) {
+        let mut world = World::new(seed, InjectedBug::None).with_restores();
+        world.run(SPAN, RECOVERY_SPAN);
+        assert_eq!(world.violations.first(), None, "seed {seed}");
+        moves += world.moves;
+    }
+    assert!(moves > seed_count(), "the schedules move keys");
+}
+
+// Guards against checks of restores that cannot fail.
+#[rstest]
+#[case(InjectedBug::TrustsRestoredOwners)]
+#[case(InjectedBug::IgnoresEras)]
+fn injected_bugs_of_restores_are_detected(#[case] injected_bug: InjectedBug) {
+    let found = seeds(INJECTED_BUG_SEED_COUNT).any(|seed| {
+        let mut world = World::new(seed, injected_bug).with_restores();
+        world.run(SPAN, RECOVERY_SPAN);
+        !world.violations.is_empty()
+    });
+    assert!(found, "{injected_bug:?} was not detected");
+}
+
 // Guards against keys that stay without an owner once the faults are over. The bound allows for a
 // leader lease that expired just then, and for a grant whose owner may still be running.
 #[test]
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -7,7 +7,7 @@
 use fake_target::{FakeTarget, Ownership};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use wagtailmoor_core::{Epoch, Incarnation, Instant, ShardKey};
+use wagtailmoor_core::{Epoch, Incarnation, Instant, ShardKey, StoreEra};
 use wagtailmoor_ranges::{
     AssignerSettings, AssignmentTable, Authority, Command, GrantOutcome, KeyRange, Member,
     RangeAssigner, ReleaseOutcome, StoreOutcome, TargetProcess,
@@ -44,6 +44,10 @@
     TakesRestartsForExits,
     /// A leader continues after a write conflict without checking the leader row.
     ContinuesAfterConflict,
+    /// A new leader renews the grants of the owners that a restore of the store brought back.
+    TrustsRestoredOwners,
+    /// A leader continues after a restore under the fencing tokens of the former era.
+    IgnoresEras,
 }
 
 /// Constructor of an assigner that continues from a stored table.
@@ -59,6 +63,8 @@
     write_id: u64,
     /// Version of the table that a write replaces.
     expected: u64,
+    /// Era of the store that the leader knew.
+    era: StoreEra,
     sent: Instant,
     /// When the call arrives; `None` if it is lost.
     arrives: Option<Instant>,
@@ -74,9 +80,18 @@
     authority: Authority,
     /// Version of the table that this leader read or wrote last.
     version: u64,
+    /// Era of the store that this leader knows.
+    era: StoreEra,
     frozen_until: Instant,
 }
 
+/// Copy to which the store can be restored.
+#[derive(Clone, Default)]
+struct StoreCopy {
+    table: Option<AssignmentTable>,
+    version: u64,
+}
+
 /// The simulated system and the violations found by the checks.
 pub(crate) struct World {
     now: Instant,
@@ -90,6 +105,13 @@
     last_write: u64,
     /// Index of the leader that the leader row names. Only this leader can renew its lease.
     leader_row: usize,
+    era: StoreEra,
+    /// Era in which the leader row was written.
+    leader_row_era: StoreEra,
+    copy: Option<StoreCopy>,
+    /// The newest table that was stored. Running processes follow the table and keep it when the
+    /// store goes back.
+    newest_table: Option<AssignmentTable>,
     pending_calls: Vec<PendingCall>,
     store_down_until: Instant,
     /// Last known ownership of each key.
@@ -111,6 +133,7 @@
             assigner: None,
             authority: Authority::default(),
             version: 0,
+            era: StoreEra::default(),
             frozen_until: Instant::default(),
         });
         Self {
@@ -123,6 +146,10 @@
             version: 0,
             last_write: 0,
             leader_row: 0,
+            era: StoreEra::default(),
+            leader_row_era: StoreEra::default(),
+            copy: None,
+            newest_table: None,
             pending_calls: Vec::new(),
             store_down_until: Instant::default(),
             last_ownership: vec![None; CHECKED_KEYS.len()],
@@ -133,6 +160,28 @@
         }
     }
 
+    /// Lets the store be restored from older copies at random.
+    pub(crate) fn with_restores(mut self) -> Self {
+        self.copy = Some(StoreCopy::default());
+        self
+    }
+
+    /// Takes a copy of the store, or restores the store from the last one. The versions since are
+    /// issued again.
+    fn copy_or_restore(&mut self) {
+        let Some(copy) = self.copy.clone() else { return };
+        match self.random.random_range(0..1_000) {
+            0..20 => {
+                self.copy = Some(StoreCopy { table: self.table.clone(), version: self.version });
+            }
+            20..23 => {
+                (self.table, self.version) = (copy.table, copy.version);
+                self.era = self.era.next();
+            }
+            _ => {}
+        }
+    }
+
     /// Runs the simulation for `span`. No faults occur in the recovery period at its end.
     pub(crate) fn run(&mut self, span: Duration, recovery: Duration) {
         let end = self.now + span;
@@ -141,7 +190,10 @@
             let is_recovering = self.now >= end - recovery;
             match is_recovering {
                 true => self.end_faults(),
-                false => self.inject_fault(),
+                false => {
+                    self.inject_fault();
+                    self.copy_or_restore();
+                }
             }
             self.tick_leaders(is_recovering);
             self.deliver();
@@ -219,12 +271,17 @@
             if now < self.leaders[index].frozen_until {
                 continue;
             }
+            // Before it learns of a restore, a leader acts on.
+            let learns = self.leaders[index].era < self.era && self.store_up();
+            if learns && self.random.random_bool(0.1) {
+                self.enter_era(index);
+            }
             let is_leader = now < self.leaders[index].authority.until;
             // While recovering, a lease of 200 steps does not expire for lack of a renewal.
             let renewal_probability = if recovering { 0.1 } else { 0.02 };
             if self.store_up()
                 && is_leader
-                && self.leader_row == index
+                && self.is_named(index)
                 && self.random.random_bool(renewal_probability)
             {
                 let sole_from = self.leaders[index].authority.sole_from;
@@ -246,6 +303,48 @@
         }
     }
 
+    /// Returns whether the leader row of this era names a process.
+    fn is_named(&self, index: usize) -> bool {
+        self.leader_row == index
+            && self.leader_row_era == self.era
+            && self.leaders[index].era == self.era
+    }
+
+    /// Lets a process learn of a restore. A leader that may still act continues, unless another
+    /// process leads in this era.
+    fn enter_era(&mut self, index: usize) {
+        let now = self.now;
+        let others_until = self.others_until(index);
+        let (era, version) = (self.era, self.version);
+        self.leaders[index].era = era;
+        if now >= self.leaders[index].authority.until {
+            return;
+        }
+        if self.leader_row_era == era {
+            self.leaders[index].authority.until = now;
+            self.leaders[index].assigner = None;
+            return;
+        }
+        (self.leader_row, self.leader_row_era) = (index, era);
+        let injected_bug = self.injected_bug;
+        let leader = &mut self.leaders[index];
+        let sole_from = leader.authority.sole_from.max(others_until);
+        leader.authority = Authority { until: now + LEASE, sole_from };
+        leader.version = version;
+        if let Some(assigner) = &mut leader.assigner {
+            assigner.set_authority(leader.authority);
+            if injected_bug != InjectedBug::IgnoresEras {
+                assigner.enter_era(now, era);
+            }
+        }
+    }
+
+    /// Returns the end of the last authority of the other processes.
+    fn others_until(&self, index: usize) -> Instant {
+        let others = self.leaders.iter().enumerate().filter(|(other, _)| *other != index);
+        others.map(|(_, leader)| leader.authority.until).max().unwrap_or_default()
+    }
+
     /// Makes a process the leader. The previous leader may act until its lease expires.
     fn take_over(&mut self, index: usize) {
         let now = self.now;
@@ -256,7 +355,8 @@
             _ => previous_until.unwrap_or(now),
         };
         self.leaders[index].authority = Authority { until: now + LEASE, sole_from };
-        self.leader_row = index;
+        self.leaders[index].era = self.era;
+        (self.leader_row, self.leader_row_era) = (index, self.era);
         self.start_assigner(index, RangeAssigner::first_under);
     }
 
@@ -264,7 +364,7 @@
     /// this process.
     fn restart_assigner(&mut self, index: usize) {
         let is_named =
-            self.leader_row == index || self.injected_bug == InjectedBug::ContinuesAfterConflict;
+            self.is_named(index) || self.injected_bug == InjectedBug::ContinuesAfterConflict;
         match self.leaders[index].assigner {
             None if self.store_up() && is_named => self.start_assigner(index, RangeAssigner::new),
             None if self.store_up() => self.leaders[index].authority.until = self.now,
@@ -275,9 +375,20 @@
     /// Starts an assigner from the stored table, as the router does.
     fn start_assigner(&mut self, index: usize, start: StartAssigner) {
         let authority = self.leaders[index].authority;
-        let assigner = start(self.now, self.settings(), authority, self.table.as_ref());
+        let table = self.table.as_ref();
+        let stored_era = table.map_or(StoreEra::default(), |table| table.last_epoch().era());
+        let is_lost =
+            stored_era < self.era && self.injected_bug != InjectedBug::TrustsRestoredOwners;
+        let assigner = match is_lost {
+            true => {
+                let known = self.newest_table.as_ref().or(table);
+                RangeAssigner::after_restore(self.now, self.settings(), authority, known)
+            }
+            false => start(self.now, self.settings(), authority, table),
+        };
+        let assigner = assigner.in_era(self.era);
         // The router first rewrites the table, so that writes of a previous leader conflict.
-        if self.injected_bug != InjectedBug::SkipsTableRewrite {
+        if self.injected_bug != InjectedBug::SkipsTableRewrite && !is_lost {
             self.version += 1;
         }
         let leader = &mut self.leaders[index];
@@ -353,7 +464,7 @@
         let delay = Duration::from_millis(self.random.random_range(2_000..12_000));
         let arrives = (!lost).then_some(now + latency);
         let unanswered_delay = is_unanswered.then_some(delay);
-        let expected = self.leaders[leader].version;
+        let (expected, era) = (self.leaders[leader].version, self.leaders[leader].era);
         let (sent, reported) = (now, false);
         let write_id = self.random.random();
         let accepted_by = None;
@@ -362,6 +473,7 @@
             command,
             write_id,
             expected,
+            era,
             sent,
             arrives,
             unanswered_delay,
@@ -444,8 +556,21 @@
             }
             Command::Store { table } => {
                 let outcome = self.store(call, table);
+                let is_hidden = self.is_hidden_by_late_write(call);
+                let version = self.version;
                 let leader = &mut self.leaders[call.leader];
+                if call.era < leader.era {
+                    return;
+                }
                 match (outcome, &mut leader.assigner) {
+                    // The answer states the new era.
+                    (_, Some(assigner)) if call.era < self.era => {
+                        assigner.on_store_outcome(now, StoreOutcome::Failed);
+                    }
+                    (StoreOutcome::Conflict, Some(assigner)) if is_hidden => {
+                        leader.version = version;
+                        assigner.on_store_outcome(now, StoreOutcome::Failed);
+                    }
                     (StoreOutcome::Conflict, assigner) => *assigner = None,
                     (outcome, Some(assigner)) => assigner.on_store_outcome(now, outcome),
                     (_, None) => {}
@@ -521,6 +646,13 @@
                 // The router reads the row back, which contains this table or another one.
                 let stored = self.last_write == call.write_id;
                 let leader = &mut self.leaders[call.leader];
+                if call.era < leader.era {
+                    return;
+                }
+                if let Some(assigner) = leader.assigner.as_mut().filter(|_| call.era < self.era) {
+                    assigner.on_store_outcome(now, StoreOutcome::Failed);
+                    return;
+                }
                 match (stored, &mut leader.assigner) {
                     (true, Some(assigner)) => {
                         leader.version = self.version;
@@ -535,6 +667,13 @@
         }
     }
 
+    /// Returns whether a late write of a former era replaced the owners that the leader stored. The
+    /// leader acts on only if the leader row still names it.
+    fn is_hidden_by_late_write(&self, call: &PendingCall) -> bool {
+        let stored = self.table.as_ref().map(|table| table.last_epoch().era());
+        stored.is_some_and(|stored| stored < self.era) && self.is_named(call.leader)
+    }
+
     fn store(&mut self, call: &PendingCall, table: &AssignmentTable) -> StoreOutcome {
         let (leader, expected) = (call.leader, call.expected);
         match self.store_up() {
@@ -548,7 +687,11 @@
                 self.version += 1;
                 self.table = Some(table.clone());
                 self.last_write = call.write_id;
-                self.leaders[leader].version = self.version;
+                // A write of a former era arrived late, on a version that was issued again.
+                if call.era == self.era {
+                    self.newest_table = Some(table.clone());
+                    self.leaders[leader].version = self.version;
+                }
                 StoreOutcome::Stored
             }
         }
