Move the keys of keyed back ends with a rollout, and show rollouts

The leader restricts the members of the range assigner by phase; hosts refuse requests on canaries' keys beyond the share and wait for the next owner of keys of a version that may no longer get requests. Success waits until no old target owns a key.

Other new targets now count beside the canaries, and without enough answers the shift goes on until 0.8 and the success waits until 0.85 of the duration.

Adds the view "wagtailmoor router rollouts".

--- a/bins/wagtailmoor/src/arguments.rs
+++ b/bins/wagtailmoor/src/arguments.rs
@@ -39,6 +39,8 @@
     Customers,
     /// Targets with their states.
     Targets,
+    /// Versions of back ends and their rollouts.
+    Rollouts,
 }
 
 #[derive(Clone, Debug)]
@@ -188,7 +190,11 @@
         .to_options()
         .descr("Shows targets with their states.")
         .command("targets");
-    construct!([nodes, ranges, customers, targets])
+    let rollouts = bpaf::pure(RouterView::Rollouts)
+        .to_options()
+        .descr("Shows the versions of back ends and their rollouts, as the given processes know.")
+        .command("rollouts");
+    construct!([nodes, ranges, customers, targets, rollouts])
 }
 
 fn edit_commands() -> impl Parser<Command> {
--- a/bins/wagtailmoor/src/routers.rs
+++ b/bins/wagtailmoor/src/routers.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use wagtailmoor_core::BackEndId;
-use wagtailmoor_router::{CustomerStatus, NodeStatus, RangeStatus, TargetStatus};
+use wagtailmoor_core::{BackEndId, NodeId};
+use wagtailmoor_router::{CustomerStatus, NodeStatus, RangeStatus, RolloutView, TargetStatus};
 use wagtailmoor_store::JsonClient;
 
 use crate::arguments::{RouterView, Site};
@@ -51,6 +51,7 @@
         }
         RouterView::Customers => print_customers(output, &statuses, silent),
         RouterView::Targets => print_targets(output, most_recent(statuses).targets, silent),
+        RouterView::Rollouts => print_rollouts(output, statuses, silent),
     }
     Ok(())
 }
@@ -178,6 +179,28 @@
     });
 }
 
+fn print_rollouts(output: &Output, statuses: Vec<NodeStatus>, silent: Vec<SilentProcess>) {
+    let rows: Vec<(NodeId, RolloutView)> = statuses
+        .into_iter()
+        .flat_map(|NodeStatus { node, rollouts, .. }| {
+            rollouts.into_iter().map(move |rollout| (node.clone(), rollout))
+        })
+        .collect();
+    let header = ["node", "back_end", "baseline", "to", "phase", "share", "sent_old", "sent_new"];
+    View { rows, silent }.print(output, &header, |(node, rollout)| {
+        vec![
+            node.to_string(),
+            rollout.back_end.to_string(),
+            rollout.baseline.join(","),
+            cell(rollout.to.as_ref()),
+            cell(rollout.phase),
+            rollout.share.to_string(),
+            rollout.sent_old.to_string(),
+            rollout.sent_new.to_string(),
+        ]
+    });
+}
+
 fn cell<T: ToString>(value: Option<T>) -> String {
     value.map_or("-".to_owned(), |value| value.to_string())
 }
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -57,6 +57,10 @@
 /// An answer is slow if it takes this many times the old version's mean on its route.
 const SLOW_FACTOR: f64 = 3.0;
 
+/// Time added to this limit, in milliseconds. Delays of a busy host must not count as slow answers
+/// on routes that take a few milliseconds.
+const SLOW_MARGIN_MS: u64 = 5;
+
 /// Weight of the answers of one report in the old version's mean response time on a route, for each
 /// answer.
 const MEAN_WEIGHT_PER_ANSWER: f64 = 0.02;
@@ -125,7 +129,8 @@
     /// Returns, by route, the response time in milliseconds above which an answer is slow.
     pub fn slow_over_ms(&self) -> Vec<(TemplateId, u64)> {
         let means = self.old_means_ms.iter();
-        means.map(|(route, mean_ms)| (route.clone(), (mean_ms * SLOW_FACTOR) as u64 + 1)).collect()
+        let limit_ms = |mean_ms: &f64| (mean_ms * SLOW_FACTOR) as u64 + SLOW_MARGIN_MS;
+        means.map(|(route, mean_ms)| (route.clone(), limit_ms(mean_ms))).collect()
     }
 
     /// Returns the answers of the new version.
@@ -174,39 +179,43 @@
         if all.answers() < ANSWERS_MIN || all.bad() < BAD_MIN || !is_significant(&all, Z_MIN) {
             return false;
         }
-        let worst = self.worst_canaries(periods, route, bad);
+        let (worst, has_others) = self.worst_canaries(periods, route, bad);
         match worst.len() {
-            0 | 1 => all.bad_periods() >= SINGLE_CANARY_PERIODS,
+            0 | 1 if !has_others => all.bad_periods() >= SINGLE_CANARY_PERIODS,
             canaries => {
-                let excluded = (canaries / CANARIES_PER_EXCLUDED).max(1);
+                let excluded = (canaries / CANARIES_PER_EXCLUDED).max(1).min(canaries);
                 let rest = self.compare(periods, route, bad, &worst[..excluded]);
                 rest.bad() >= BAD_MIN - 1.0 && is_significant(&rest, Z_MIN_REST)
             }
         }
     }
 
-    /// Returns the targets of the new version, those with the most bad answers first. `None` stands
-    /// for all that are not canaries; it is left out of the list.
+    /// Returns the canaries, those with the most bad answers first, and whether other targets of the
+    /// new version answered.
     fn worst_canaries(
         &self,
         periods: usize,
         route: Option<&TemplateId>,
         bad: Bad,
-    ) -> Vec<&TargetId> {
+    ) -> (Vec<&TargetId>, bool) {
+        let mut has_others = false;
         let mut sums: SortedVec<&TargetId, u32> = SortedVec::new();
         for period in self.periods.iter().rev().take(periods) {
             for ((known, target), counts) in period.new.iter() {
+                if route.is_some_and(|route| route != known) {
+                    continue;
+                }
                 match target {
-                    Some(target) if route.is_none_or(|route| route == known) => {
+                    Some(target) => {
                         *sums.get_or_insert_with(target, || 0) += bad(counts);
                     }
-                    _ => {}
+                    None => has_others |= counts.answers > 0,
                 }
             }
         }
         let mut sums: Vec<(&TargetId, u32)> = sums.into_iter().collect();
         sums.sort_by_key(|(_, bad)| std::cmp::Reverse(*bad));
-        sums.into_iter().map(|(target, _)| target).collect()
+        (sums.into_iter().map(|(target, _)| target).collect(), has_others)
     }
 
     fn compare(
--- a/crates/rollout/src/host_rollout.rs
+++ b/crates/rollout/src/host_rollout.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    AnswerCounts, AnswerKind, ExposureGate, RolloutDirective, RolloutOrder, RolloutPhase,
+    AnswerCounts, AnswerKind, ExposureGate, OwnerUse, RolloutDirective, RolloutOrder, RolloutPhase,
     RolloutReport, RolloutRow, RouteCounts, TargetCounts, VersionClass, VersionPolicy,
 };
 
@@ -155,6 +155,35 @@
         }
     }
 
+    /// Returns whether a request may be sent to the owner of its key. `has` returns whether a target
+    /// of a class is in service.
+    pub fn owner_use(
+        &self,
+        now: Instant,
+        owner: &TargetId,
+        version: &str,
+        has: impl Fn(VersionClass) -> bool,
+    ) -> OwnerUse {
+        use VersionClass::{Barred, Canary, New, Old};
+        let phase = self.phase();
+        match self.class(owner, version) {
+            New | Canary if phase == Some(RolloutPhase::RolledBack) && has(Old) => OwnerUse::Wait,
+            New | Canary if phase == Some(RolloutPhase::Canary) && has(Old) => {
+                match self.gate.admits(self.share(now)) {
+                    true => OwnerUse::Send,
+                    false => OwnerUse::Refuse,
+                }
+            }
+            Old if matches!(phase, Some(RolloutPhase::Settle | RolloutPhase::Succeeded))
+                && has(New) =>
+            {
+                OwnerUse::Wait
+            }
+            Barred if has(Old) || has(New) => OwnerUse::Wait,
+            _ => OwnerUse::Send,
+        }
+    }
+
     /// Counts an attempt that is sent to a target of a version as in flight.
     pub fn start_attempt(&mut self, now: Instant, version: &Arc<str>) -> InFlightGuard {
         let is_new = self.policy.class(version) == VersionClass::New;
--- a/crates/rollout/src/inventory.rs
+++ b/crates/rollout/src/inventory.rs
@@ -27,6 +27,8 @@
     pub new: Vec<NewTarget>,
     /// Number of targets of other versions in service.
     pub old: usize,
+    /// Whether the targets own keys.
+    pub keyed: bool,
     /// Whether a target of another version owns keys.
     pub old_owns_keys: bool,
     /// Hosts that report to the leader.
--- a/crates/rollout/src/rollout_controller.rs
+++ b/crates/rollout/src/rollout_controller.rs
@@ -9,8 +9,9 @@
 };
 
 use crate::{
-    Evidence, Inventory, Rollout, RolloutAction, RolloutDirective, RolloutOrder, RolloutPhase,
-    RolloutReport, RolloutRow, RolloutSettings, RolloutStatus,
+    Evidence, Inventory, MemberRole, Rollout, RolloutAction, RolloutDirective, RolloutOrder,
+    RolloutPhase, RolloutReport, RolloutRow, RolloutSettings, RolloutStatus, VersionClass,
+    VersionPolicy,
 };
 
 /// Part of the exposure share that is used in the canary phase, in percent. The rest covers the
@@ -41,6 +42,9 @@
 /// Part of the duration by which the shift ends, if the new targets became available late.
 const SHIFT_END_LATEST: f64 = 0.8;
 
+/// Part of the duration after which a version succeeds although it has few answers.
+const SETTLE_END_WITHOUT_EVIDENCE: f64 = 0.85;
+
 /// Shares of the steps of the shift. With the canary phase, the first two take 8 of 100 requests, so
 /// that a version whose fault appears under load stays within the exposure share.
 const SHIFT_SHARES: [f64; 2] = [0.2, 0.4];
@@ -59,6 +63,9 @@
 /// be told from one of the version.
 const CANARIES_MIN: usize = 2;
 
+/// Old targets give up all their keys to canaries only if there are more than this many for each.
+const OLD_PER_CANARY_MIN: usize = 3;
+
 /// What a host last reported.
 #[derive(Clone, Copy, Debug)]
 struct HostState {
@@ -332,7 +339,8 @@
         if was_seen.is_some_and(|seen| now >= seen + NEW_GONE_AFTER) {
             return Some((RolloutPhase::RolledBack, "no target of the new version"));
         }
-        if active.phase == RolloutPhase::Settle && self.is_settled(now, inventory) {
+        let is_known = self.evidence.is_sufficient() || part >= SETTLE_END_WITHOUT_EVIDENCE;
+        if active.phase == RolloutPhase::Settle && is_known && self.is_settled(now, inventory) {
             self.success_requested |= part < 1.0;
             if self.success_requested {
                 return Some((RolloutPhase::Succeeded, "settled"));
@@ -353,8 +361,8 @@
                 Some((RolloutPhase::Shift, "no fault"))
             }
             RolloutPhase::Shift if self.shift_step(time, active).is_none() => {
-                let waits_for_cold = has_cold && part < SHIFT_END_LATEST;
-                (!waits_for_cold).then_some((RolloutPhase::Settle, "shifted"))
+                let waits = (has_cold || !sufficient) && part < SHIFT_END_LATEST;
+                (!waits).then_some((RolloutPhase::Settle, "shifted"))
             }
             _ => None,
         }
@@ -444,12 +452,63 @@
         PartsPerMillion::from_share(share.min(CANARY_SHARE_MAX.max(base)))
     }
 
-    /// Returns the new targets that get requests in the canary phase.
-    pub fn canaries(&self) -> &[TargetId] {
-        &self.canaries
+    /// Returns, for targets of a keyed back end that are in service, with their versions, what each
+    /// may own. New targets get the keys that old ones give up, step by step.
+    pub fn roles(&self, now: Instant, targets: &[(&TargetId, &str)]) -> Vec<MemberRole> {
+        let mut policy = VersionPolicy::default();
+        policy.set_order(self.order.as_ref());
+        let stored = self.row.as_ref().filter(|(_, version)| *version != RowVersion::default());
+        policy.set_row(stored.map(|(row, _)| row.clone()));
+        let active = self.row().and_then(RolloutRow::active);
+        let phase = active.map(|active| active.phase);
+        let of_class = |class: VersionClass| {
+            let found = targets.iter().filter(|(_, version)| policy.class(version) == class);
+            found.map(|(target, _)| *target).collect::<Vec<_>>()
+        };
+        let (mut old, new) = (of_class(VersionClass::Old), of_class(VersionClass::New));
+        old.sort_by_key(|target| std::cmp::Reverse(canary_score(target)));
+        let share = active.map_or(0.0, |active| self.share(now, active).of(1.0));
+        let (exposed, giving_up) = match phase {
+            Some(RolloutPhase::Canary) => {
+                let canaries = self.canaries.len();
+                // With few old targets, the loss of one would overload the others.
+                let enough = old.len() > canaries * OLD_PER_CANARY_MIN;
+                (canaries, if enough { canaries } else { 0 })
+            }
+            Some(RolloutPhase::Shift) => (new.len(), (share * old.len() as f64).ceil() as usize),
+            Some(RolloutPhase::Settle) if !new.is_empty() => (new.len(), old.len()),
+            _ => (new.len(), 0),
+        };
+        let capacity = match phase {
+            Some(RolloutPhase::Canary | RolloutPhase::Shift) => {
+                (share * old.len() as f64 / exposed.max(1) as f64).min(1.0)
+            }
+            _ => 1.0,
+        };
+        let role = |target: &TargetId, version: &str| match policy.class(version) {
+            VersionClass::Old if old.iter().take(giving_up).any(|id| *id == target) => {
+                MemberRole::LEAVING
+            }
+            VersionClass::New
+                if phase == Some(RolloutPhase::Canary) && !self.canaries.contains(target) =>
+            {
+                MemberRole::LEAVING
+            }
+            VersionClass::New | VersionClass::Canary => {
+                MemberRole { capacity, ..MemberRole::OWNER }
+            }
+            VersionClass::Barred if !old.is_empty() || !new.is_empty() => MemberRole::LEAVING,
+            VersionClass::Old | VersionClass::Barred => MemberRole::OWNER,
+        };
+        targets.iter().map(|(target, version)| role(target, version)).collect()
     }
 }
 
+/// Returns the rank of a target among the canaries, or among the old targets that give up their keys.
+fn canary_score(target: &TargetId) -> u64 {
+    rendezvous_score(KeyHash::of(target.as_str().as_bytes()).get(), "canary")
+}
+
 /// Returns a time as a part of a duration.
 fn part(passed: Duration, duration: Duration) -> f64 {
     passed.as_secs_f64() / duration.as_secs_f64().max(f64::EPSILON)
@@ -459,13 +518,15 @@
 /// is loaded like an old one; at least one in each zone that has new targets. The choice is stable
 /// while targets join.
 fn choose_canaries(share: PartsPerMillion, inventory: &Inventory) -> Vec<TargetId> {
-    let by_share = share.of(inventory.old as f64 * f64::from(CANARY_SHARE_PERCENT) / 100.0).ceil();
-    let wanted = (by_share as usize).max(CANARIES_MIN);
-    let score = |target: &TargetId| {
-        rendezvous_score(KeyHash::of(target.as_str().as_bytes()).get(), "canary")
-    };
+    let by_share = share.of(inventory.old as f64 * f64::from(CANARY_SHARE_PERCENT) / 100.0);
     let mut ranked: Vec<_> = inventory.new.iter().collect();
-    ranked.sort_by_key(|new| std::cmp::Reverse(score(&new.target)));
+    ranked.sort_by_key(|new| std::cmp::Reverse(canary_score(&new.target)));
+    if inventory.keyed {
+        // Requests on a canary's keys beyond the share are refused, so there are no more than needed.
+        let wanted = (by_share as usize).max(1);
+        return ranked.into_iter().take(wanted).map(|new| new.target.clone()).collect();
+    }
+    let wanted = (by_share.ceil() as usize).max(CANARIES_MIN);
     let mut zones: Vec<&ZoneId> = Vec::new();
     let (mut first_of_zone, mut others) = (Vec::new(), Vec::new());
     for new in ranked {
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -40,6 +40,11 @@
     (attempt.is_new && attempt.now_ms > 5_500 && attempt.chance < 0.4, 1)
 }
 
+/// The fault appears only under the load of the shift.
+fn failing_in_shift(attempt: Attempt) -> (bool, u64) {
+    (attempt.is_new && attempt.now_ms > 6_300 && attempt.chance < 0.3, 1)
+}
+
 /// One target of either version fails from the third second on.
 fn one_target_fails(attempt: Attempt) -> (bool, u64) {
     (attempt.target == 3 && attempt.now_ms > 3_000, 1)
@@ -71,6 +76,7 @@
 #[case::slow(Plan { behaviour: slow, ..PLAN })]
 #[case::one_route(Plan { behaviour: failing_on_one_route, ..PLAN })]
 #[case::later(Plan { behaviour: failing_later, ..PLAN })]
+#[case::in_shift(Plan { behaviour: failing_in_shift, ..PLAN })]
 #[case::many_hosts(Plan { behaviour: failing, hosts: 300, old: 100, new: 100, ..PLAN })]
 #[case::restarts(Plan { behaviour: failing, hosts: 300, restarts_percent: 20, ..PLAN })]
 #[case::leader_lost(Plan { behaviour: failing_later, leader_lost_ms: &[5_000], ..PLAN })]
--- a/crates/rollout/tests/support/mod.rs
+++ b/crates/rollout/tests/support/mod.rs
@@ -156,6 +156,7 @@
                     })
                     .collect(),
                 old: plan.old,
+                keyed: false,
                 old_owns_keys: false,
                 hosts: names.clone(),
                 longest_request: Duration::from_secs(2),
--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -17,6 +17,7 @@
 use crate::feeds::RANGES_TABLE;
 use crate::granter::{Granter, GranterId};
 use crate::leader_loop::write_id;
+use crate::rollouts;
 use crate::state::{RouterState, Shared};
 use crate::target_choice::DEFAULT_LATENCY;
 use crate::target_control::{GrantCall, ReleaseCall, TargetControl};
@@ -131,7 +132,8 @@
     state.remove_expired_targets(now);
     let state = &mut *state;
     let mean = mean_service_time(state, now, back_end);
-    let members = members(state, now, back_end, mean);
+    let mut members = members(state, now, back_end, mean);
+    rollouts::restrict_members(state, now, back_end, &mut members);
     update_shares(state, now, back_end, mean);
     let granter = state.granters.get_mut(back_end)?;
     if granter.generation != term {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -44,7 +44,9 @@
 pub use leader_view::LeaderView;
 pub use node_address::NodeAddress;
 pub use node_settings::{LimitBounds, NodeSettings};
-pub use node_status::{CustomerStatus, LeaderStatus, NodeStatus, RangeStatus, TargetStatus};
+pub use node_status::{
+    CustomerStatus, LeaderStatus, NodeStatus, RangeStatus, RolloutView, TargetStatus,
+};
 pub use peer_failure::PeerFailure;
 pub use router::{Router, StartError, start};
 pub use site_decoder::{OperatorChange, SiteDecoder, UnusableRow};
--- a/crates/router/src/node_status.rs
+++ b/crates/router/src/node_status.rs
@@ -1,14 +1,18 @@
 //! The status of a router process for operators, as one JSON document.
 
+use std::sync::Arc;
+
 use wagtailmoor_core::{
     BackEndId, ConfigVersion, CustomerId, Epoch, Generation, Incarnation, Instant, NodeId,
-    Requests, RequestsPerSecond, RowVersion, ShardKey, TargetId, ZoneId, millis,
+    PartsPerMillion, Requests, RequestsPerSecond, RowVersion, ShardKey, TargetId, ZoneId, millis,
 };
 use wagtailmoor_derive::value;
 use wagtailmoor_ranges::AssignmentTable;
+use wagtailmoor_rollout::RolloutPhase;
 use wagtailmoor_site::{CustomerRule, Target, TargetState};
 
 use crate::feeds::RANGES_TABLE;
+use crate::rollouts::Rollouts;
 use crate::state::{RouterState, SharedState};
 
 /// The status of a router process.
@@ -36,6 +40,28 @@
     pub customers: Vec<CustomerStatus>,
     /// Registered targets.
     pub targets: Vec<TargetStatus>,
+    /// Back ends whose versions are known; empty if rollouts are off.
+    #[serde(default)]
+    pub rollouts: Vec<RolloutView>,
+}
+
+/// The versions of a back end as the answering node knows them.
+#[value]
+pub struct RolloutView {
+    /// Back end.
+    pub back_end: BackEndId,
+    /// Versions that may get requests without an order.
+    pub baseline: Vec<Arc<str>>,
+    /// Version of the newest order.
+    pub to: Option<Arc<str>>,
+    /// Phase of the newest order.
+    pub phase: Option<RolloutPhase>,
+    /// Share of this node's requests for the new version.
+    pub share: PartsPerMillion,
+    /// Attempts that this node sent to old versions.
+    pub sent_old: u64,
+    /// Attempts that this node sent to new versions during rollouts.
+    pub sent_new: u64,
 }
 
 /// The leader, which grants keys and divides limits.
@@ -120,11 +146,31 @@
             owners_version: state.rows.version(RANGES_TABLE),
             ranges: state.tables.iter().flat_map(|(id, table)| ranges(id, table)).collect(),
             customers: customers(&state),
+            rollouts: rollouts(&state, now),
             targets: state.registry.targets().map(|target| status(&state, now, target)).collect(),
         }
     }
 }
 
+fn rollouts(state: &RouterState, now: Instant) -> Vec<RolloutView> {
+    let hosts = state.rollouts.iter().flat_map(Rollouts::hosts);
+    let views = hosts.filter_map(|(back_end, host)| {
+        let row = host.policy().row()?;
+        let rollout = row.rollout.as_ref();
+        let [sent_old, sent_new] = host.sent();
+        Some(RolloutView {
+            back_end: back_end.clone(),
+            baseline: row.baseline.clone(),
+            to: rollout.map(|rollout| Arc::clone(&rollout.to)),
+            phase: host.phase().or(rollout.map(|rollout| rollout.phase)),
+            share: host.share(now),
+            sent_old,
+            sent_new,
+        })
+    });
+    views.collect()
+}
+
 fn leader(state: &RouterState, now: Instant) -> Option<LeaderStatus> {
     let row = state.lease.leader()?;
     let authority = state.lease.authority(now);
--- a/crates/router/src/rollout_loop.rs
+++ b/crates/router/src/rollout_loop.rs
@@ -6,9 +6,9 @@
 
 use tokio::task::spawn_local;
 use tokio::time::sleep;
-use wagtailmoor_core::{BackEndId, Generation, Instant, RowVersion};
+use wagtailmoor_core::{BackEndId, Generation, Instant, RowVersion, TargetId};
 use wagtailmoor_rollout::{
-    Inventory, NewTarget, RolloutAction, RolloutController, RolloutRow, RolloutStatus,
+    Inventory, NewTarget, RolloutAction, RolloutController, RolloutPhase, RolloutRow, RolloutStatus,
 };
 use wagtailmoor_store::{
     ConfirmedOutcome, PlainTable, Row, RowWrite, StoreClock, Table, write_and_confirm,
@@ -104,7 +104,10 @@
 ) -> Inventory {
     let registry = &state.registry;
     let config = state.config.as_ref();
+    let keyed = config.and_then(|config| config.back_end(back_end)).is_some_and(|rule| rule.keyed);
     let mut inventory = Inventory {
+        keyed,
+        old_owns_keys: keyed && old_owns_keys(state, back_end, to),
         settled: now.saturating_since(state.leading_since) >= REGISTRY_SETTLE_TIME,
         hosts: state.reporters.keys().cloned().collect(),
         longest_request: config.map_or(Duration::ZERO, |config| config.longest_timeout(back_end)),
@@ -127,6 +130,23 @@
     inventory
 }
 
+/// Returns whether a target of another version owns keys, as far as this process knows as the leader.
+fn old_owns_keys(state: &RouterState, back_end: &BackEndId, to: Option<&str>) -> bool {
+    let controllers = state.rollouts.as_ref().map(|rollouts| &rollouts.controllers);
+    let row = controllers.and_then(|known| known.get(back_end)).and_then(|known| known.row());
+    // Only the last phase waits for the keys, and large tables are expensive to compare.
+    let phase = row.and_then(|row| row.active()).map(|rollout| rollout.phase);
+    if phase != Some(RolloutPhase::Settle) {
+        return true;
+    }
+    let Some(granter) = state.granters.get(back_end) else { return true };
+    let owners = granter.assigner.table();
+    let is_new = |owner: &TargetId| {
+        state.registry.get(owner).is_some_and(|target| to == Some(&*target.software))
+    };
+    !owners.iter().all(|assignment| is_new(&assignment.owner.target))
+}
+
 /// Runs `update` on the controller of a back end if this process is still in the same term.
 fn with_controller(
     state: &mut RouterState,
--- a/crates/router/src/rollouts.rs
+++ b/crates/router/src/rollouts.rs
@@ -6,9 +6,10 @@
 use wagtailmoor_admission::ReportTiming;
 use wagtailmoor_core::{BackEndId, Generation, Instant, NodeId, RowVersion, SortedVec, TargetId};
 use wagtailmoor_front::Call;
+use wagtailmoor_ranges::Member;
 use wagtailmoor_rollout::{
-    HostRollout, InFlightGuard, RolloutController, RolloutDirective, RolloutOrder, RolloutReport,
-    RolloutRow, RolloutSettings, VersionClass,
+    HostRollout, InFlightGuard, OwnerUse, RolloutController, RolloutDirective, RolloutOrder,
+    RolloutReport, RolloutRow, RolloutSettings, VersionClass,
 };
 use wagtailmoor_site::{Registry, Target};
 
@@ -84,6 +85,20 @@
         })
     }
 
+    /// Returns whether a request may be sent to the owner of its key.
+    pub(crate) fn owner_use(&self, now: Instant, registry: &Registry, owner: &Target) -> OwnerUse {
+        let back_end = &owner.back_end;
+        let Some(host) = self.hosts.get(back_end).filter(|host| !host.policy().is_open()) else {
+            return OwnerUse::Send;
+        };
+        host.owner_use(now, &owner.target, &owner.software, |class| {
+            registry.targets_of(back_end).any(|target| {
+                class.includes(host.class(&target.target, &target.software))
+                    && registry.is_in_service(now, &target.target)
+            })
+        })
+    }
+
     /// Returns whether a target is of a class.
     pub(crate) fn allows(&self, class: VersionClass, target: &Target) -> bool {
         let host = self.hosts.get(&target.back_end);
@@ -157,6 +172,33 @@
     }
 }
 
+/// Restricts the members of a keyed back end to the versions that may own keys.
+pub(crate) fn restrict_members(
+    state: &RouterState,
+    now: Instant,
+    back_end: &BackEndId,
+    members: &mut [Member],
+) {
+    let controllers = state.rollouts.as_ref().map(|rollouts| &rollouts.controllers);
+    let Some(controller) = controllers.and_then(|known| known.get(back_end)) else { return };
+    let in_service: Vec<(&mut Member, &Target)> = members
+        .iter_mut()
+        .filter(|member| !member.leaving)
+        .filter_map(|member| {
+            let target = state.registry.get(&member.process.target)?;
+            Some((member, target))
+        })
+        .collect();
+    let targets: Vec<(&TargetId, &str)> =
+        in_service.iter().map(|(_, target)| (&target.target, &*target.software)).collect();
+    let roles = controller.roles(now, &targets);
+    for ((member, _), role) in in_service.into_iter().zip(roles) {
+        member.eligible &= role.eligible;
+        member.leaving = role.leaving;
+        member.capacity_per_s *= role.capacity;
+    }
+}
+
 /// Returns this node's reports on active rollouts.
 pub(crate) fn take_reports(state: &mut RouterState) -> Vec<RolloutReport> {
     let hosts = state.rollouts.iter_mut().flat_map(|rollouts| rollouts.hosts.values_mut());
--- a/crates/router/src/target_choice.rs
+++ b/crates/router/src/target_choice.rs
@@ -6,7 +6,7 @@
 use wagtailmoor_admission::{PickCriteria, Picked};
 use wagtailmoor_core::{Instant, NodeId, Reason, ShardKey, TargetId, ZoneId};
 use wagtailmoor_front::Call;
-use wagtailmoor_rollout::VersionClass;
+use wagtailmoor_rollout::{OwnerUse, VersionClass};
 use wagtailmoor_site::{BackEndRule, Target};
 
 use crate::log_lines;
@@ -80,6 +80,15 @@
     if !state.registry.is_in_service(now, &target.target) {
         return OwnerLookup::Wait(Reason::OwnerMoving);
     }
+    let owner_use = state
+        .rollouts
+        .as_ref()
+        .map_or(OwnerUse::Send, |rollouts| rollouts.owner_use(now, &state.registry, target));
+    match owner_use {
+        OwnerUse::Send => {}
+        OwnerUse::Wait => return OwnerLookup::Wait(Reason::OwnerMoving),
+        OwnerUse::Refuse => return OwnerLookup::Refuse(Reason::QueueFull),
+    }
     let rule = state.config.as_ref().and_then(|config| config.back_end(&call.back_end));
     if state.registry.is_cold(now, &target.target) {
         let per_s = rule.map_or(0.0, BackEndRule::cold_per_s);
