--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -18,6 +18,7 @@
 use crate::feeds::RANGES_TABLE;
 use crate::granter::{Granter, GranterId};
 use crate::leader_loop::write_id;
+use crate::rollouts;
 use crate::state::{RouterState, Shared};
 use crate::target_control::{GrantCall, ReleaseCall, TargetControl};
 
@@ -202,7 +203,8 @@
     state.remove_expired_targets(now);
     let state = &mut *state;
     let mean = state.mean_service_time(now, back_end);
-    let members = members(state, now, back_end, mean);
+    let mut members = members(state, now, back_end, mean);
+    rollouts::restrict_members(state, now, back_end, &mut members);
     admission_control::update_keyed(state, now, back_end, mean);
     let granter = state.granters.get_mut(back_end)?;
     // Owners of a former era must be stored again before anything else.
