Derive Retry-After from priority, admitted share and time left

Cause: every refusal for lack of room stated 300 ms, so clients that were refused together returned together, the less urgent ones as soon as the others, and also when they could not be answered in time any more. Change: RefusedRequest states a random delay, longer for lower priorities and shares, at most a third of the time left, and none if a target could no longer answer. The leader logs the start and end of an overload.

--- a/crates/admission/src/admission_controller.rs
+++ b/crates/admission/src/admission_controller.rs
@@ -66,6 +66,11 @@
         known.priorities = known.pooled.update(now, capacity);
     }
 
+    /// Returns whether a pooled back end is overloaded.
+    pub fn is_overloaded(&self, back_end: &BackEndId) -> bool {
+        self.back_ends.get(back_end).is_some_and(|known| known.pooled.is_overloaded())
+    }
+
     /// Computes the shares of a keyed back end, of whose requests on a range only a part fits.
     pub fn update_keyed(&mut self, now: Instant, back_end: &BackEndId, limited: Vec<RangeShare>) {
         let known = self.back_ends.get_or_insert_with(back_end.clone(), BackEnd::default);
--- a/crates/admission/src/pooled_overload.rs
+++ b/crates/admission/src/pooled_overload.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Returns whether requests are withheld when the demand exceeds the capacity.
+    pub(crate) fn is_overloaded(&self) -> bool {
+        self.overloaded
+    }
+
     fn update_overload(
         &mut self,
         now: Instant,
--- a/crates/router/src/admission_control.rs
+++ b/crates/router/src/admission_control.rs
@@ -2,25 +2,22 @@
 
 use std::time::Duration;
 
-use wagtailmoor_admission::{PooledCapacity, RequestClass};
+use wagtailmoor_admission::{PooledCapacity, RefusedRequest, RequestClass};
 use wagtailmoor_core::{BackEndId, Instant, Reason};
 use wagtailmoor_front::{Call, Refusal};
 use wagtailmoor_ranges::TargetProcess;
 use wagtailmoor_site::Target;
+use wagtailmoor_telemetry::Event;
 
 use crate::granter::Granter;
 use crate::log_lines;
 use crate::state::{RouterState, Shared};
+use crate::target_choice::DEFAULT_LATENCY;
 
 /// Counts a request as demand on its back end, and refuses it if it exceeds the admitted share.
 /// Called only for requests that their customer's limit admits; others load no target.
-pub(crate) fn admit(
-    state: &mut RouterState,
-    now: Instant,
-    call: &Call,
-    retry_after: Duration,
-) -> Result<(), Refusal> {
-    let class = RequestClass { priority: call.priority, customer: call.customer.clone() };
+pub(crate) fn admit(state: &mut RouterState, now: Instant, call: &Call) -> Result<(), Refusal> {
+    let class = class(call);
     match call.shard_key {
         Some(key) => state.count_key(&call.back_end, key, call.priority),
         None => state.demand.count(&call.back_end, class.clone()),
@@ -32,7 +29,31 @@
     let leader_age = now.saturating_since(state.leader_last_contact);
     log_lines::withheld(call, share, leader_age).info();
     let refusal = Refusal::not_run(Reason::QueueFull, "the back end is overloaded");
-    Err(refusal.with_retry_after(retry_after))
+    let retry_after = retry_after(state, now, call, None);
+    Err(Refusal { retry_after, ..refusal })
+}
+
+/// Returns when the client of a request that was refused for lack of room may return; `None` if it
+/// could not be answered in time any more. `requested` is the delay that a target asked for.
+pub(crate) fn retry_after(
+    state: &mut RouterState,
+    now: Instant,
+    call: &Call,
+    requested: Option<Duration>,
+) -> Option<Duration> {
+    let RouterState { admission_gate, random, .. } = state;
+    let refused = RefusedRequest {
+        priority: call.priority,
+        admitted: admission_gate.admitted(now, &call.back_end, call.shard_key, &class(call)),
+        requested,
+        left: call.deadline.saturating_since(now),
+        service_time: DEFAULT_LATENCY,
+    };
+    refused.return_delay(random)
+}
+
+fn class(call: &Call) -> RequestClass {
+    RequestClass { priority: call.priority, customer: call.customer.clone() }
 }
 
 /// Computes the shares of the pooled back ends, if this process leads.
@@ -52,7 +73,21 @@
         .collect();
     for (back_end, objective) in due {
         let capacity = pooled_capacity(&state, now, &back_end, objective);
+        let was_overloaded = state.admission.is_overloaded(&back_end);
         state.admission.update_pooled(now, &back_end, capacity);
+        let overloaded = state.admission.is_overloaded(&back_end);
+        if overloaded != was_overloaded {
+            let name = match overloaded {
+                true => "overload",
+                false => "overload-ended",
+            };
+            Event::new(name)
+                .field("back_end", &back_end)
+                .field("rate_per_s", capacity.rate_per_s as u64)
+                .field("waiting", capacity.queue as u64)
+                .field("waiting_max", capacity.queue_max as u64)
+                .warn();
+        }
     }
 }
 
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -26,9 +26,6 @@
 /// A key without an owner most likely has one after this time.
 const OWNER_RETRY_AFTER: Duration = Duration::from_millis(350);
 
-/// A busy back end most likely has free capacity after this time.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// A node without a configuration most likely has one after this time.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -198,7 +195,7 @@
                     .with_retry_after(wait.max(RATE_RETRY_AFTER_MIN))
             })?;
         }
-        let admitted = admission_control::admit(&mut state, now, call, BUSY_RETRY_AFTER);
+        let admitted = admission_control::admit(&mut state, now, call);
         drop(state);
         let credit =
             CreditGuard { shared: Rc::clone(&self.shared), customer: call.customer.clone() };
@@ -343,12 +340,15 @@
             .info();
     }
 
-    fn retry_after(&self, _call: &Call, verdict: &Verdict) -> Option<Duration> {
+    fn retry_after(&self, call: &Call, verdict: &Verdict) -> Option<Duration> {
         match (verdict.outcome, verdict.reason) {
             (Outcome::NotRun, Some(Reason::OwnerMoving | Reason::OwnerUnknown)) => {
                 Some(OWNER_RETRY_AFTER)
             }
-            (Outcome::NotRun, _) => verdict.retry_after.or(Some(BUSY_RETRY_AFTER)),
+            (Outcome::NotRun, _) => {
+                let (now, mut state) = (self.now(), self.shared.write());
+                admission_control::retry_after(&mut state, now, call, verdict.retry_after)
+            }
             _ => None,
         }
     }
