Drop admitted shares that the leader cannot compute again

Cause: the grant loop, which computed all shares, waits for the store when it starts a granter. Shares of pooled back ends were not updated meanwhile, and those of a keyed one whose granter had stopped stayed in every reply. Change: pooled back ends are updated when a report arrives; shares that are older than the lifetime of a reply are left out.

--- a/crates/admission/src/admission_controller.rs
+++ b/crates/admission/src/admission_controller.rs
@@ -7,7 +7,9 @@
 
 use crate::keyed_demand::KeyedDemand;
 use crate::pooled_overload::PooledOverload;
-use crate::{AdmittedShares, BackEndDemand, KeyedShare, PooledCapacity, PriorityShare};
+use crate::{
+    AdmittedShares, BackEndDemand, KeyedShare, PooledCapacity, PriorityShare, ReportTiming,
+};
 
 /// Interval at which the admitted shares of a back end are computed.
 const INTERVAL: Duration = Duration::from_millis(200);
@@ -89,10 +91,13 @@
         self.back_ends.clear();
     }
 
-    /// Returns the shares of all overloaded back ends.
-    pub fn shares(&self) -> Vec<AdmittedShares> {
+    /// Returns the shares of all overloaded back ends. Shares that were not computed again for a
+    /// while, because the owners of a back end are not known at present, no longer apply.
+    pub fn shares(&self, now: Instant) -> Vec<AdmittedShares> {
+        let is_recent = |computed_at: Instant| now < computed_at + ReportTiming::REPLY_LIFETIME;
         self.back_ends
             .iter()
+            .filter(|(_, known)| known.computed_at.is_some_and(is_recent))
             .filter(|(_, known)| !known.ranges.is_empty() || !known.priorities.is_empty())
             .map(|(back_end, known)| AdmittedShares {
                 back_end: back_end.clone(),
--- a/crates/admission/tests/overload.rs
+++ b/crates/admission/tests/overload.rs
@@ -151,7 +151,7 @@
         for node in reporting {
             let (demand, gate) = &mut self.nodes[node];
             leader.add_demand(now, &demand.take());
-            gate.replace(now, leader.shares());
+            gate.replace(now, leader.shares(now));
         }
     }
 
@@ -244,7 +244,7 @@
     let rate_per_s = 2.0 * f64::from(admitted);
     let capacity = PooledCapacity { rate_per_s, slots: 1.0, queue: 1.0, queue_max: 2.0 };
     leader.update_pooled(START, &back_end(), capacity);
-    leader.shares()
+    leader.shares(START)
 }
 
 // Guards against nodes that admit more than the share in one second and less in the next. A node
@@ -282,6 +282,17 @@
     assert!(!withheld(START + ReportTiming::REPLY_LIFETIME));
 }
 
+// Guards against requests that are refused by shares that the leader can no longer compute, because
+// it cannot read the owners of a back end.
+#[test]
+fn the_leader_drops_shares_that_are_not_computed_again() {
+    let mut leader = AdmissionController::default();
+    let limited = RangeShare { range: range(0, 99), admitted: ppm(300_000) };
+    leader.update_keyed(START, &back_end(), vec![limited]);
+    assert_eq!(leader.shares(START).len(), 1);
+    assert!(leader.shares(START + ReportTiming::REPLY_LIFETIME).is_empty());
+}
+
 fn range(first: u16, last: u16) -> KeyRange {
     KeyRange::new(ShardKey::new(first), ShardKey::new(last)).unwrap()
 }
@@ -297,7 +308,7 @@
         leader.add_key_demand(START, &back_end(), key, priority, *requests);
     }
     leader.update_keyed(START, &back_end(), limited.to_vec());
-    leader.shares().into_iter().flat_map(|shares| shares.ranges).collect()
+    leader.shares(START).into_iter().flat_map(|shares| shares.ranges).collect()
 }
 
 // Guards against a changed share of the requests of a range that all have the same priority.
--- a/crates/router/src/admission_control.rs
+++ b/crates/router/src/admission_control.rs
@@ -11,7 +11,7 @@
 
 use crate::granter::Granter;
 use crate::log_lines;
-use crate::state::{RouterState, Shared};
+use crate::state::RouterState;
 use crate::target_choice::DEFAULT_LATENCY;
 
 /// Counts a request as demand on its back end, and refuses it if it exceeds the admitted share.
@@ -56,14 +56,9 @@
     RequestClass { priority: call.priority, customer: call.customer.clone() }
 }
 
-/// Computes the shares of the pooled back ends, if this process leads.
-pub(crate) fn update_pooled(shared: &Shared) {
-    let now = shared.now();
-    let mut state = shared.write();
-    if state.lease.authority(now).is_none() {
-        return;
-    }
-    let RouterState { admission, config, .. } = &mut *state;
+/// Computes the shares of the pooled back ends, on the leader.
+pub(crate) fn update_pooled(state: &mut RouterState, now: Instant) {
+    let RouterState { admission, config, .. } = state;
     let Some(config) = config else { return };
     admission.retain(|back_end| config.back_end(back_end).is_some());
     let rules = config.back_ends().filter(|rule| !rule.keyed);
@@ -72,7 +67,7 @@
         .filter_map(|rule| Some((rule.back_end.clone(), config.objective(&rule.back_end)?)))
         .collect();
     for (back_end, objective) in due {
-        let capacity = pooled_capacity(&state, now, &back_end, objective);
+        let capacity = pooled_capacity(state, now, &back_end, objective);
         let was_overloaded = state.admission.is_overloaded(&back_end);
         state.admission.update_pooled(now, &back_end, capacity);
         let overloaded = state.admission.is_overloaded(&back_end);
--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -38,7 +38,6 @@
         // A notification ends the wait, but not before the shortest interval has passed.
         sleep(TICK_INTERVAL_MIN).await;
         drop(timeout(TICK_INTERVAL_MAX - TICK_INTERVAL_MIN, shared.assigner_due.notified()).await);
-        admission_control::update_pooled(&shared);
         let back_ends = keyed_back_ends(&shared.read());
         for back_end in back_ends {
             let Some(term) = current_term(&shared) else { break };
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -9,6 +9,7 @@
 use wagtailmoor_core::Instant;
 use wagtailmoor_telemetry::Event;
 
+use crate::admission_control;
 use crate::granter::Granter;
 use crate::peer_link::{PeerCall, PeerLink};
 use crate::peer_service::{KeyCounts, LeaderReply, NodeReport};
@@ -140,13 +141,15 @@
         }
         state.admission.add_demand(now, &report.demand);
         state.speeds.add_observations(now, &report.service);
+        // Driven by reports, since the grant loop waits for the store.
+        admission_control::update_pooled(state, now);
         let node = report.from.node.clone();
         let rules = || state.config.iter().flat_map(|config| config.customers());
         state.issuer.refill(now, rules());
         state.issuer.record_usage(now, &node, &report.used);
         let previous = state.reporters.insert(node.clone(), report.from.clone());
         state.reporters_changed |= previous.is_none_or(|previous| previous != report.from);
-        reply.shares = state.admission.shares();
+        reply.shares = state.admission.shares(now);
         reply.allowances = state.issuer.allowances(now, &node, rules());
         reply.site_nodes = state.issuer.nodes(now);
         update_node_list(state, now);
