--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -30,9 +30,6 @@
 /// A key without an owner most likely has one after this time.
 const OWNER_RETRY_AFTER: Duration = Duration::from_millis(350);
 
-/// A busy back end most likely has free capacity after this time.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// A node without a configuration most likely has one after this time.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -72,6 +69,12 @@
 }
 
 impl<D> RouterGateway<D> {
+    /// Returns whether targets are limited over all nodes and requests are admitted by priority.
+    fn controls_load(&self) -> bool {
+        let state = self.shared.read();
+        state.config.as_ref().is_some_and(|config| self.shared.settings.controls_load(config))
+    }
+
     pub(crate) fn new(shared: Shared, dialect: D) -> Self {
         Self { shared, dialect }
     }
@@ -223,7 +226,7 @@
                     .with_retry_after(wait.max(RATE_RETRY_AFTER_MIN))
             })?;
         }
-        let admitted = admission_control::admit(&mut state, now, call, BUSY_RETRY_AFTER);
+        let admitted = admission_control::admit(&mut state, now, call);
         drop(state);
         let credit =
             CreditGuard { shared: Rc::clone(&self.shared), customer: call.customer.clone() };
@@ -411,11 +414,15 @@
             .info();
     }
 
-    fn retry_after(&self, _call: &Call, verdict: &Verdict) -> Option<Duration> {
+    fn retry_after(&self, call: &Call, verdict: &Verdict) -> Option<Duration> {
         match (verdict.outcome, verdict.reason) {
             (Outcome::NotRun, Some(Reason::OwnerMoving | Reason::OwnerUnknown)) => {
                 Some(OWNER_RETRY_AFTER)
             }
+            (Outcome::NotRun, _) if self.controls_load() => {
+                let (now, mut state) = (self.now(), self.shared.write());
+                admission_control::retry_after(&mut state, now, call, verdict.retry_after)
+            }
             (Outcome::NotRun, _) => verdict.retry_after.or(Some(BUSY_RETRY_AFTER)),
             _ => None,
         }
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -9,6 +9,7 @@
 use wagtailmoor_core::Instant;
 use wagtailmoor_telemetry::Event;
 
+use crate::admission_control;
 use crate::granter::Granter;
 use crate::peer_link::{PeerCall, PeerLink};
 use crate::peer_service::{KeyCounts, LeaderReply, NodeReport};
@@ -150,13 +151,15 @@
         }
         state.admission.add_demand(now, &report.demand);
         state.speeds.add_observations(now, &report.service);
+        // Driven by reports, since the grant loop waits for the store.
+        admission_control::update_pooled(state, now, &shared.settings);
         let node = report.from.node.clone();
         let rules = || state.config.iter().flat_map(|config| config.customers());
         state.issuer.refill(now, rules());
         state.issuer.record_usage(now, &node, &report.used);
         let previous = state.reporters.insert(node.clone(), report.from.clone());
         state.reporters_changed |= previous.is_none_or(|previous| previous != report.from);
-        reply.shares = state.admission.shares();
+        reply.shares = state.admission.shares(now);
         let registry = &state.registry;
         state.room_allocator.record(now, &node, &report.room, |target| registry.get(target));
         let back_end = |id: &_| state.config.as_ref().and_then(|config| config.back_end(id));
