Use partial settings and partly faulty configurations

Cause: one absent bound stopped every process, and one faulty element of the configuration rejected all of it, so that every request got 503. The configuration is parsed element by element; requests that an unusable element concerns are refused as not run before their body is read. Routes of type upload or of an unknown type pass the body on as it arrives and are sent once.

--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -77,7 +77,7 @@
     CrashesTargets = "crashes-targets",
     /// The node is shutting down.
     ShuttingDown = "shutting-down",
-    /// The node has no configuration yet.
+    /// The node has no configuration yet, or none that it can use for the request.
     NotReady = "not-ready",
     /// Too many connections are open.
     TooManyConnections = "too-many-connections",
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -451,6 +451,7 @@
             request_id: None,
             shard_key: None,
             bulk: false,
+            streamed: false,
             fresh_connection: !route.idempotent,
             id: AttemptId::new(self.random.random()),
             received_at: now,
--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -1,5 +1,6 @@
 //! Request bodies: buffered for a retry if short, streamed otherwise.
 
+use std::borrow::Cow;
 use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -48,7 +49,7 @@
     }
 }
 
-/// A body that is too long to buffer: the bytes read so far and the unread rest.
+/// A body that is not buffered as a whole: the bytes read so far and the unread rest.
 pub(crate) struct StreamedBody {
     prefix: Option<Bytes>,
     rest: Incoming,
@@ -66,17 +67,35 @@
 }
 
 impl CollectedBody {
-    /// Returns the bytes read so far, for the fingerprint.
-    pub(crate) fn prefix(&self) -> &[u8] {
+    /// Returns the part of the body that goes into the fingerprint: the bytes read so far or, if
+    /// none were read, the stated length.
+    pub(crate) fn fingerprint_input(&self) -> Cow<'_, [u8]> {
         match self {
-            Self::Complete(bytes) => bytes,
-            Self::Partial(streamed) => streamed.prefix.as_deref().unwrap_or_default(),
+            Self::Complete(bytes) => Cow::Borrowed(bytes),
+            Self::Partial(StreamedBody { prefix: Some(bytes), .. }) => Cow::Borrowed(bytes),
+            Self::Partial(streamed) => {
+                let length = streamed.rest.size_hint().exact().map(u64::to_be_bytes);
+                Cow::Owned(length.map(Vec::from).unwrap_or_default())
+            }
         }
     }
 }
 
+/// Reads a body up to the buffer limit, or nothing of it if it is to be `streamed`.
+pub(crate) async fn receive(
+    body: Incoming,
+    streamed: bool,
+    idle_timeout: Duration,
+    fault: &FaultCell,
+) -> Result<CollectedBody, ClientFault> {
+    match streamed {
+        true => Ok(CollectedBody::Partial(StreamedBody::new(None, body, idle_timeout, fault))),
+        false => collect(body, idle_timeout, fault).await,
+    }
+}
+
 /// Reads a body up to the buffer limit.
-pub(crate) async fn collect(
+async fn collect(
     mut body: Incoming,
     idle_timeout: Duration,
     fault: &FaultCell,
@@ -92,18 +111,25 @@
             }
         }
         if buffer.len() > REPLAY_BUFFER_MAX_BYTES {
-            return Ok(CollectedBody::Partial(StreamedBody {
-                prefix: Some(buffer.freeze()),
-                rest: body,
-                idle_timeout,
-                idle: Box::pin(sleep(idle_timeout)),
-                fault: Rc::clone(fault),
-            }));
+            let prefix = Some(buffer.freeze());
+            let streamed = StreamedBody::new(prefix, body, idle_timeout, fault);
+            return Ok(CollectedBody::Partial(streamed));
         }
     }
 }
 
 impl StreamedBody {
+    fn new(
+        prefix: Option<Bytes>,
+        rest: Incoming,
+        idle_timeout: Duration,
+        fault: &FaultCell,
+    ) -> Self {
+        let idle = Box::pin(sleep(idle_timeout));
+        let fault = Rc::clone(fault);
+        Self { prefix, rest, idle_timeout, idle, fault }
+    }
+
     fn poll_rest(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, ClientFault>>> {
         match Pin::new(&mut self.rest).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
--- a/crates/front/src/gateway.rs
+++ b/crates/front/src/gateway.rs
@@ -62,6 +62,8 @@
     pub idempotent: bool,
     /// Whether the response is expected to be large.
     pub bulk: bool,
+    /// Whether the body is forwarded as it arrives and is not kept for another attempt.
+    pub streamed: bool,
     /// Value of `Idempotency-Key`, if an attempt record must be claimed before the request is sent.
     pub record_key: Option<Rc<str>>,
     /// Numeric application key, on back ends that are divided into key ranges.
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -231,8 +231,8 @@
         let call = self.gateway.resolve(&head).map_err(|refusal| self.refuse(refusal))?;
         let call = Rc::new(call);
         let fault = FaultCell::default();
-        let body = body::collect(incoming, self.limits.body_idle_timeout, &fault).await;
-        let body = body.map_err(|fault| {
+        let body = body::receive(incoming, call.streamed, self.limits.body_idle_timeout, &fault);
+        let body = body.await.map_err(|fault| {
             let refusal = client_fault_refusal(fault);
             self.gateway.on_refused(Some(&call), &refusal);
             refusal
@@ -266,7 +266,7 @@
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let fingerprint = self
             .gateway
-            .check_fingerprint(&call, parts.method.as_str(), path, body.prefix())
+            .check_fingerprint(&call, parts.method.as_str(), path, &body.fingerprint_input())
             .map_err(refuse)?;
         let credit = self.gateway.admit(&call).await.map_err(refuse)?;
         self.gateway.claim_record(&call).await.map_err(refuse)?;
--- a/crates/front/tests/support/gateway.rs
+++ b/crates/front/tests/support/gateway.rs
@@ -114,6 +114,7 @@
             record_key: head.idempotency_key.map(Into::into),
             shard_key: (head.path == "/on-t2").then(|| ShardKey::new(2)),
             bulk: false,
+            streamed: head.path == "/upload",
             fresh_connection: head.path == "/fresh-connection",
             plan: PlanSettings {
                 trusts_refusals: true,
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -7,9 +7,9 @@
 use rand::RngExt;
 use tokio::time::sleep;
 use wagtailmoor_admission::ReportTiming;
-use wagtailmoor_core::{BackEndId, RowVersion};
+use wagtailmoor_core::{BackEndId, ConfigVersion, RowVersion};
 use wagtailmoor_ranges::AssignmentTable;
-use wagtailmoor_site::RegistryChange;
+use wagtailmoor_site::{ElementKind, RegistryChange, UnusableReport};
 use wagtailmoor_store::{ChangeFeed, CompressedPage, FeedError, FeedPage, FeedRow, StoredRow};
 use wagtailmoor_telemetry::Event;
 
@@ -250,6 +250,7 @@
             let version = config.version();
             let previous = state.config.as_ref().map(|config| config.version());
             if previous.is_none_or(|previous| previous < version) {
+                log_unusable_elements(version, config.unusable());
                 state.config = Some(*config);
                 Event::new("config")
                     .field("version", version)
@@ -272,6 +273,22 @@
     }
 }
 
+/// Writes one line for a version with elements that cannot be used.
+fn log_unusable_elements(version: ConfigVersion, report: &UnusableReport) {
+    if report.is_empty() {
+        return;
+    }
+    Event::new("config-unusable")
+        .field("version", version)
+        .field("routes", report.count(ElementKind::Route))
+        .field("back_ends", report.count(ElementKind::BackEnd))
+        .field("customers", report.count(ElementKind::Customer))
+        .field("limits", report.count(ElementKind::Limits))
+        .field("unknown_types", report.unknown_types())
+        .field("first", report)
+        .warn();
+}
+
 fn apply_target<S: SiteDecoder>(shared: &Shared, decoder: &S, row: &FeedRow) {
     let now = shared.now();
     let mut state = shared.write();
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -12,7 +12,7 @@
     AttemptId, BodyTimeout, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
 };
 use wagtailmoor_front::{AssignedTarget, Call, Dialect, Gateway, Refusal, RequestHead};
-use wagtailmoor_site::{RouteRule, SiteConfig};
+use wagtailmoor_site::{KeyMatch, RouteMatch, RouteRule, SiteConfig};
 use wagtailmoor_telemetry::Event;
 
 use crate::log_lines;
@@ -30,6 +30,10 @@
 /// A node without a configuration most likely has one after this time.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Retry delay of a request that an unusable element of the configuration concerns. Operators take
+/// longer to correct it, but clients accept no delay of more than a part of their deadline.
+const UNUSABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// A client that was refused because this node is shutting down can use another node after this
 /// time.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -123,13 +127,21 @@
             let refusal = Refusal::not_run(Reason::NotReady, "no configuration is known yet");
             return Err(refusal.with_retry_after(NOT_READY_RETRY_AFTER));
         };
-        let Some(route) = config.route(head.host, head.path) else {
-            return Err(Refusal::not_run(Reason::RouteUnknown, "no route matches host and path"));
+        let route = match config.match_route(head.host, head.path) {
+            RouteMatch::Usable(route) => route,
+            RouteMatch::Unusable => return Err(unusable("the route")),
+            RouteMatch::Unknown => {
+                let detail = "no route matches host and path";
+                return Err(Refusal::not_run(Reason::RouteUnknown, detail));
+            }
         };
         let customer = find_customer(config, route, head)?;
         let zone = &self.shared.settings.zone;
         let mut split = Split { now, zone, config, tables, registry, local_shares };
         let back_end = split.choose(route, head.shard_key, random);
+        if config.is_back_end_unusable(&back_end) {
+            return Err(unusable("the back end"));
+        }
         let keyed = config.back_end(&back_end).is_some_and(|rule| rule.keyed);
         let shard_key = head.shard_key.filter(|_| keyed);
         let timeout = head.deadline.map_or(route.timeout, |wait| wait.min(route.timeout));
@@ -146,6 +158,7 @@
             key: shard_key.map(|key| KeyHash::of(&key.get().to_be_bytes())),
             idempotent: route.idempotent,
             bulk: route.bulk,
+            streamed: route.streamed,
             record_key: None,
             shard_key,
             fresh_connection: !route.idempotent,
@@ -405,13 +418,25 @@
     route: &RouteRule,
     head: &RequestHead<'_>,
 ) -> Result<Option<CustomerId>, Refusal> {
-    let found = head.digest.as_ref().and_then(|digest| config.customer_of(digest));
-    match (found, head.digest) {
-        (Some(rule), _) => Ok(Some(rule.customer.clone())),
-        (None, _) if route.open || !config.has_customers() => Ok(None),
-        (None, None) => Err(Refusal::not_run(Reason::KeyMissing, "the request carries no key")),
-        (None, Some(_)) => {
+    let found = head.digest.as_ref().map(|digest| config.match_key(digest));
+    let is_open = route.open || !config.has_customers();
+    match found {
+        Some(KeyMatch::Customer(rule)) => Ok(Some(rule.customer.clone())),
+        Some(KeyMatch::Unusable) => Err(unusable("the customer")),
+        _ if is_open => Ok(None),
+        None if !config.has_unread_customers() => {
+            Err(Refusal::not_run(Reason::KeyMissing, "the request carries no key"))
+        }
+        // The key may belong to a customer that could not be read.
+        None | Some(KeyMatch::Unlisted) => Err(unusable("the list of customers")),
+        Some(KeyMatch::Unknown) => {
             Err(Refusal::not_run(Reason::KeyRefused, "the key is unknown or was withdrawn"))
         }
     }
 }
+
+/// Refuses a request that an unusable element of the configuration concerns.
+fn unusable(element: &str) -> Refusal {
+    let detail = format!("the configuration of {element} is not usable");
+    Refusal::not_run(Reason::NotReady, detail).with_retry_after(UNUSABLE_RETRY_AFTER)
+}
--- a/crates/router/src/metrics_page.rs
+++ b/crates/router/src/metrics_page.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 
 use wagtailmoor_core::{BackEndId, CustomerId, Reason, millis};
+use wagtailmoor_site::ElementKind;
 
 use crate::state::RouterState;
 use crate::stats::{LATENCY_BOUNDS_MS, RequestLabels};
@@ -31,6 +32,12 @@
     write_line(&mut page, "wagtailmoor_log_lines_dropped_total", "", dropped);
     let version = state.config.as_ref().map_or(0, |config| config.version().get());
     write_line(&mut page, "wagtailmoor_config_version", "", version);
+    for kind in ElementKind::ALL {
+        let count = state.config.as_ref().map_or(0, |config| config.unusable().count(kind));
+        let labels = format!("kind=\"{kind}\"");
+        let name = "wagtailmoor_config_elements_unusable";
+        write_line(&mut page, name, &labels, u64::from(count));
+    }
     write_line(&mut page, "wagtailmoor_crash_suspects", "", state.ledger.len() as u64);
     write_line(&mut page, "wagtailmoor_targets", "", state.registry.targets().count() as u64);
     page
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 
 use serde::de::DeserializeOwned;
+use serde_saphyr::options::NonFiniteFloatPolicy;
+use serde_saphyr::{options, with_deserializer_from_str_with_options};
 use snafu::ResultExt;
 
 use crate::SettingsError;
@@ -27,7 +29,9 @@
 /// The text is not YAML or has a wrong or unknown field.
 pub fn parse<T: DeserializeOwned>(path: &Path, text: &str) -> Result<T, SettingsError> {
     let field = RefCell::new(String::from("."));
-    serde_saphyr::with_deserializer_from_str(text, |source| {
+    // By default, a number out of range where any type is accepted fails the whole file.
+    let options = options! { non_finite_float_policy: NonFiniteFloatPolicy::AsString };
+    with_deserializer_from_str_with_options(text, options, |source| {
         serde_path_to_error::deserialize(source).map_err(|error| {
             field.replace(error.path().to_string());
             error.into_inner()
--- a/crates/site/src/route_rule.rs
+++ b/crates/site/src/route_rule.rs
@@ -30,6 +30,9 @@
     pub idempotent: bool,
     /// Whether responses are large.
     pub bulk: bool,
+    /// Whether the body of a request is sent on as it arrives and is not kept for another attempt.
+    /// A request of which any byte was sent is then never sent again.
+    pub streamed: bool,
     /// Maximum time until a request is answered or refused.
     pub timeout: Duration,
     /// Latency objective of a response.
--- a/crates/site/src/site_config.rs
+++ b/crates/site/src/site_config.rs
@@ -1,10 +1,14 @@
 //! The operators' configuration of a site.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use wagtailmoor_core::{BackEndId, ConfigVersion, CustomerId, KeyDigest, SortedVec};
 
-use crate::{BackEndRule, ClientLimits, CustomerRule, RouteRule};
+use crate::{
+    BackEndRule, ClientLimits, CustomerRule, ElementKind, KeyMatch, RouteMatch, RouteRule,
+    UnusableElements, UnusableReport,
+};
 
 /// The operators' configuration of a site.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -16,6 +20,14 @@
     customers: SortedVec<CustomerId, CustomerRule>,
     keys: SortedVec<KeyDigest, CustomerId>,
     limits: ClientLimits,
+    /// Hosts and prefixes of unusable routes, sorted.
+    unusable_routes: Vec<(Arc<str>, Arc<str>)>,
+    unusable_back_ends: SortedVec<BackEndId, ()>,
+    unnamed_back_ends: bool,
+    unusable_keys: SortedVec<KeyDigest, ()>,
+    unread_keys: bool,
+    unread_customers: bool,
+    report: UnusableReport,
 }
 
 impl SiteConfig {
@@ -35,7 +47,32 @@
         let customers =
             customers.into_iter().map(|(rule, _)| (rule.customer.clone(), rule)).collect();
         let back_ends = back_ends.into_iter().map(|rule| (rule.back_end.clone(), rule)).collect();
-        Self { version, routes, back_ends, customers, keys, limits }
+        Self { version, routes, back_ends, customers, keys, limits, ..Self::default() }
+    }
+
+    /// Adds the elements that could not be used. They take precedence over usable elements of the
+    /// same name, prefix or key.
+    pub fn with_unusable(self, unusable: UnusableElements) -> Self {
+        let mut unusable_routes = unusable.routes;
+        unusable_routes.sort();
+        let mut config = Self {
+            unusable_routes,
+            unusable_back_ends: unusable.back_ends.into_iter().map(|name| (name, ())).collect(),
+            unnamed_back_ends: unusable.unnamed_back_ends,
+            unusable_keys: unusable.keys.into_iter().map(|key| (key, ())).collect(),
+            unread_keys: unusable.unread_keys,
+            unread_customers: unusable.unread_customers,
+            report: unusable.report,
+            ..self
+        };
+        let names = &config.unusable_back_ends;
+        config.back_ends.retain(|name, _| !names.contains_key(name));
+        config
+    }
+
+    /// Returns the report of the elements that could not be used.
+    pub fn unusable(&self) -> &UnusableReport {
+        &self.report
     }
 
     /// Returns the version.
@@ -48,18 +85,32 @@
         &self.limits
     }
 
-    /// Returns the route of a request: the route of its host with the longest matching prefix.
-    pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
+    /// Finds the route of a request: the route of its host with the longest matching prefix.
+    pub fn match_route(&self, host: &str, path: &str) -> RouteMatch<'_> {
         // Prefixes end with a slash, so only a part of the path up to a slash can match.
-        path.rmatch_indices('/').find_map(|(slash, _)| {
-            let prefix = &path[..=slash];
-            let key = (host, prefix);
+        let found = path.rmatch_indices('/').find_map(|(slash, _)| {
+            let key = (host, &path[..=slash]);
+            let unusable = self
+                .unusable_routes
+                .binary_search_by(|(host, prefix)| (&**host, &**prefix).cmp(&key));
+            if unusable.is_ok() {
+                return Some(RouteMatch::Unusable);
+            }
             let found = self
                 .routes
                 .binary_search_by(|route| (&*route.host, &*route.prefix).cmp(&key))
                 .ok()?;
-            Some(&self.routes[found])
-        })
+            Some(RouteMatch::Usable(&self.routes[found]))
+        });
+        found.unwrap_or(RouteMatch::Unknown)
+    }
+
+    /// Returns the route of a request if it is usable.
+    pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        match self.match_route(host, path) {
+            RouteMatch::Usable(route) => Some(route),
+            RouteMatch::Unusable | RouteMatch::Unknown => None,
+        }
     }
 
     /// Returns the shortest objective among the routes to a back end.
@@ -69,9 +120,22 @@
         self.routes.iter().filter(leads_to).map(|route| route.objective).min()
     }
 
-    /// Returns the customer that holds a key.
+    /// Finds the customer that holds a key.
+    pub fn match_key(&self, key: &KeyDigest) -> KeyMatch<'_> {
+        match self.keys.get(key).and_then(|customer| self.customers.get(customer)) {
+            _ if self.unusable_keys.contains_key(key) => KeyMatch::Unusable,
+            Some(rule) => KeyMatch::Customer(rule),
+            None if self.unread_keys || self.unread_customers => KeyMatch::Unlisted,
+            None => KeyMatch::Unknown,
+        }
+    }
+
+    /// Returns the customer that holds a key, if its rules are usable.
     pub fn customer_of(&self, key: &KeyDigest) -> Option<&CustomerRule> {
-        self.customers.get(self.keys.get(key)?)
+        match self.match_key(key) {
+            KeyMatch::Customer(rule) => Some(rule),
+            KeyMatch::Unusable | KeyMatch::Unlisted | KeyMatch::Unknown => None,
+        }
     }
 
     /// Returns the limits of a customer.
@@ -79,9 +143,14 @@
         self.customers.get(customer)
     }
 
-    /// Returns whether any customer is configured; if not, every route is open.
+    /// Returns whether any customer is configured, usable or not; if not, every route is open.
     pub fn has_customers(&self) -> bool {
-        !self.customers.is_empty()
+        !self.customers.is_empty() || self.report.count(ElementKind::Customer) > 0
+    }
+
+    /// Returns whether the list of customers could not be read.
+    pub fn has_unread_customers(&self) -> bool {
+        self.unread_customers
     }
 
     /// Returns a back end.
@@ -89,6 +158,13 @@
         self.back_ends.get(back_end)
     }
 
+    /// Returns whether the description of a back end could not be used, or may be one of those
+    /// that could not be read.
+    pub fn is_back_end_unusable(&self, back_end: &BackEndId) -> bool {
+        let may_be_unnamed = self.unnamed_back_ends && !self.back_ends.contains_key(back_end);
+        may_be_unnamed || self.unusable_back_ends.contains_key(back_end)
+    }
+
     /// Iterates over the back ends.
     pub fn back_ends(&self) -> impl Iterator<Item = &BackEndRule> {
         self.back_ends.values()
