Treat a response without a valid final status as lost

Cause: hyper passes on 101 and 600 to 999, which reached clients as answers of idempotent and other requests, on new and kept connections. It rejects 000, 099, 1000 and letters, and skips other interim statuses. Change: attempt::send accepts 200 to 599 only. Others count as lost, since the target may have run the request.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use tokio::time::sleep;
 use wagtailmoor_core::{Epoch, SlotId, TargetId};
 use wagtailmoor_dispatch::ResponseHead;
@@ -65,6 +65,12 @@
     Lost,
 }
 
+/// Returns whether a status is valid as the final one of a response. Hyper rejects statuses that are
+/// no number of three digits from 100 on, and skips interim ones other than 101.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Sends a request and waits for the response head and the part of the body that is buffered.
 pub(crate) async fn send<G: Gateway>(
     gateway: &G,
@@ -84,6 +90,10 @@
     };
     connection.set_idle_timeout(response.headers());
     let (parts, body) = response.into_parts();
+    // The target has run the request or not; its response does not tell.
+    if !is_final(parts.status) {
+        return SendResult::Lost;
+    }
     let used = connection.was_used();
     let head = gateway.dialect().response_head(call, parts.status, &parts.headers, used);
     // A body that does not belong to this request may never end, so it is not read.
