Merge the use of partial settings and configurations

Cause: the parts were built side by side. Limits at targets and admission by priority are also on if the configuration has routes whose requests are streamed to targets, since a target that holds too many uploads crashes.

--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -235,8 +235,8 @@
             false => None,
         };
         let fault = FaultCell::default();
-        let body = body::collect(incoming, self.limits.body_idle_timeout, &fault).await;
-        let body = body.map_err(|fault| {
+        let body = body::receive(incoming, call.streamed, self.limits.body_idle_timeout, &fault);
+        let body = body.await.map_err(|fault| {
             let refusal = client_fault_refusal(fault);
             self.gateway.on_refused(Some(&call), &refusal);
             refusal
@@ -276,7 +276,7 @@
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let fingerprint = self
             .gateway
-            .check_fingerprint(&call, parts.method.as_str(), path, body.prefix())
+            .check_fingerprint(&call, parts.method.as_str(), path, &body.fingerprint_input())
             .map_err(refuse)?;
         let credit = match credit {
             Some(credit) => credit,
--- a/crates/router/src/metrics_page.rs
+++ b/crates/router/src/metrics_page.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 
 use wagtailmoor_core::{BackEndId, CustomerId, Reason, millis};
+use wagtailmoor_site::ElementKind;
 
 use crate::rollouts::Rollouts;
 use crate::state::RouterState;
@@ -48,6 +49,12 @@
     let version = state.config.as_ref().map_or(0, |config| config.version().get());
     write_line(&mut page, "wagtailmoor_config_version", "", version);
     write_line(&mut page, "wagtailmoor_store_era", "", state.lease.era().get());
+    for kind in ElementKind::ALL {
+        let count = state.config.as_ref().map_or(0, |config| config.unusable().count(kind));
+        let labels = format!("kind=\"{kind}\"");
+        let name = "wagtailmoor_config_elements_unusable";
+        write_line(&mut page, name, &labels, u64::from(count));
+    }
     write_line(&mut page, "wagtailmoor_crash_suspects", "", state.ledger.len() as u64);
     write_line(&mut page, "wagtailmoor_targets", "", state.registry.targets().count() as u64);
     let hosts = state.rollouts.iter().flat_map(Rollouts::hosts);
--- a/crates/router/src/node_settings.rs
+++ b/crates/router/src/node_settings.rs
@@ -57,9 +57,10 @@
 }
 
 impl NodeSettings {
-    /// Returns whether targets are limited over all nodes and requests are admitted by priority.
-    pub(crate) fn controls_load(&self, _config: &SiteConfig) -> bool {
-        self.load_control
+    /// Returns whether targets are limited over all nodes and requests are admitted by priority. A
+    /// target that holds too many uploads crashes, so a configuration with uploads asks for it too.
+    pub(crate) fn controls_load(&self, config: &SiteConfig) -> bool {
+        self.load_control || config.streams_requests()
     }
 
     /// Returns the entry of this node in the list of nodes.
