Report demand for load control only where it is on

Cause: reports carried the demand on pooled back ends, and the leader counted keyed demand by priority, also on sites that do not use either. That the larger reports are the cause is suspected, not shown. Change: without load control these reports are empty and not counted.

--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use wagtailmoor_admission::{ReportTiming, RoomReply, RoomReport};
-use wagtailmoor_core::Instant;
+use wagtailmoor_core::{Instant, NodeId};
 use wagtailmoor_telemetry::Event;
 
 use crate::admission_control;
@@ -68,13 +68,18 @@
         .collect();
     let room = state.room.take_report(now);
     let controls_load = state.config.as_ref().is_some_and(|config| settings.controls_load(config));
-    let room = if controls_load { room } else { RoomReport::default() };
+    // Elsewhere the leader does not use them, and handles hundreds of reports a second.
+    let demand = state.demand.take();
+    let (demand, room) = match controls_load {
+        true => (demand, room),
+        false => (Vec::new(), RoomReport::default()),
+    };
     NodeReport {
         from: settings.address(),
         nodes_version: state.nodes_version,
         can_lead: now.saturating_since(state.store_last_contact) < STORE_CONTACT_AGE_MAX,
         keys,
-        demand: state.demand.take(),
+        demand,
         used: state.customers.take_usage(),
         suspects: state.ledger.unconfirmed_reports(now),
         ledger_version: state.ledger_version,
@@ -140,13 +145,23 @@
         rollouts: Vec::new(),
         room: RoomReply::default(),
     };
+    let controls_load =
+        state.config.as_ref().is_some_and(|config| shared.settings.controls_load(config));
     if leads {
         for counts in &report.keys {
             for ((key, priority), requests) in &counts.keys {
                 if let Some(Granter { assigner, .. }) = state.granters.get_mut(&counts.back_end) {
                     assigner.add_load(*key, *requests);
                 }
-                state.admission.add_key_demand(now, &counts.back_end, *key, *priority, *requests);
+                if controls_load {
+                    state.admission.add_key_demand(
+                        now,
+                        &counts.back_end,
+                        *key,
+                        *priority,
+                        *requests,
+                    );
+                }
             }
         }
         state.admission.add_demand(now, &report.demand);
@@ -154,17 +169,15 @@
         // Driven by reports, since the grant loop waits for the store.
         admission_control::update_pooled(state, now, &shared.settings);
         let node = report.from.node.clone();
+        if controls_load {
+            reply.room = answer_room(state, now, &node, &report.room);
+        }
         let rules = || state.config.iter().flat_map(|config| config.customers());
         state.issuer.refill(now, rules());
         state.issuer.record_usage(now, &node, &report.used);
         let previous = state.reporters.insert(node.clone(), report.from.clone());
         state.reporters_changed |= previous.is_none_or(|previous| previous != report.from);
         reply.shares = state.admission.shares(now);
-        let registry = &state.registry;
-        state.room_allocator.record(now, &node, &report.room, |target| registry.get(target));
-        let back_end = |id: &_| state.config.as_ref().and_then(|config| config.back_end(id));
-        let is_keyed = |id: &_| back_end(id).is_some_and(|rule| rule.keyed);
-        reply.room = state.room_allocator.reply(now, &node, is_keyed);
         reply.allowances = state.issuer.allowances(now, &node, rules());
         reply.site_nodes = state.issuer.nodes(now);
         reply.rollouts = rollouts::answer(state, now, &node, &report.rollouts);
@@ -179,6 +192,19 @@
     reply
 }
 
+/// Records a node's unanswered requests, and returns what it may send to full targets.
+fn answer_room(
+    state: &mut RouterState,
+    now: Instant,
+    node: &NodeId,
+    report: &RoomReport,
+) -> RoomReply {
+    let RouterState { registry, room_allocator, config, .. } = state;
+    room_allocator.record(now, node, report, |target| registry.get(target));
+    let back_end = |id: &_| config.as_ref().and_then(|config| config.back_end(id));
+    room_allocator.reply(now, node, |id| back_end(id).is_some_and(|rule| rule.keyed))
+}
+
 /// Removes nodes that no longer report, and raises the version of the list of nodes if it changed.
 fn update_node_list(state: &mut RouterState, now: Instant) {
     if now < state.reporters_checked_at + NODE_LIST_INTERVAL {
