--- a/crates/admission/src/admission_gate.rs
+++ b/crates/admission/src/admission_gate.rs
@@ -72,9 +72,7 @@
             false => Some(share),
         }
     }
-}
 
-impl AdmissionGate {
     /// Returns the admitted share of the requests that are treated like this one.
     pub fn admitted(
         &self,
--- a/crates/router/src/leader_lease.rs
+++ b/crates/router/src/leader_lease.rs
@@ -182,6 +182,7 @@
     fn is_of_former_era(&self, row: &LeaderRow) -> bool {
         row.generation.era() < self.era()
     }
+
     /// Returns the authority under which this process acts as the leader; `None` if it may not act.
     pub fn authority(&self, now: Instant) -> Option<Authority> {
         (self.leads && !self.suspended && now < self.authority.until).then_some(self.authority)
