--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -7,8 +7,10 @@
 mod early_answer;
 mod http;
 mod json;
+mod pipeline;
 mod record;
 mod site;
+mod spoiled_answers;
 mod stalled_upload;
 mod store;
 
@@ -34,6 +36,7 @@
     let run: fn(Record, bool) -> Finding = match case.as_str() {
         "cut-answers" => cut_answers::run,
         "early-answer" => early_answer::run,
+        "spoiled-answers" => spoiled_answers::run,
         "stalled-upload" => stalled_upload::run,
         _ => return ExitCode::from(2),
     };
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -92,13 +92,14 @@
         let template = fs::read_to_string("deploy/router.yaml").expect("run in the repository");
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
         let run = run.and_then(|line| line.strip_suffix('"')).expect("a run line");
-        let control = free_address(self.network, 1).port();
+        let control = free_ports(self.network, 1, 1)[0];
         let seeds: Vec<String> =
             (1..=ZONES.len()).map(|index| self.address(index as u8, control).to_string()).collect();
         for (index, zone) in ZONES.iter().enumerate() {
             let host = index as u8 + 1;
-            let (front, ready) =
-                (free_address(self.network, host), free_address(self.network, host));
+            let mut ports = free_ports(self.network, host, 3);
+            ports.retain(|port| *port != control);
+            let (front, ready) = (self.address(host, ports[0]), self.address(host, ports[1]));
             let name = format!("edge-{zone}-1");
             let settings = self.folder.join(format!("{name}.yaml"));
             let text = template
@@ -151,7 +152,7 @@
         slots: u32,
         handle: impl Fn(&str, Connection) + Send + Sync + 'static,
     ) -> String {
-        let id = format!("i-{number:08x}");
+        let id = instance_id(number);
         let listener = listen(self.network, 100 + number);
         let address = listener.local_addr().expect("a bound listener has an address");
         let zone = ZONES[usize::from(number) % ZONES.len()];
@@ -202,8 +203,16 @@
     TcpListener::bind((Ipv4Addr::new(first, second, third, host), 0)).expect("a free port")
 }
 
-fn free_address(network: [u8; 3], host: u8) -> SocketAddr {
-    listen(network, host).local_addr().expect("a bound listener has an address")
+/// Returns different free ports.
+fn free_ports(network: [u8; 3], host: u8, count: usize) -> Vec<u16> {
+    let listeners: Vec<TcpListener> = (0..count).map(|_| listen(network, host)).collect();
+    let ports = listeners.iter().map(|listener| listener.local_addr().map(|bound| bound.port()));
+    ports.collect::<Result<_, _>>().expect("a bound listener has an address")
+}
+
+/// Returns the id of an instance.
+pub fn instance_id(number: u8) -> String {
+    format!("i-{number:08x}")
 }
 
 /// Returns a config with one service, that is not divided by key, and one route to it.
