--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -7,6 +7,7 @@
 mod early_answer;
 mod http;
 mod json;
+mod lost_owners;
 mod pipeline;
 mod record;
 mod site;
@@ -36,6 +37,7 @@
     let run: fn(Record, bool) -> Finding = match case.as_str() {
         "cut-answers" => cut_answers::run,
         "early-answer" => early_answer::run,
+        "lost-owners" => lost_owners::run,
         "spoiled-answers" => spoiled_answers::run,
         "stalled-upload" => stalled_upload::run,
         _ => return ExitCode::from(2),
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -2,10 +2,10 @@
 
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -27,6 +27,9 @@
 /// A router process; killed when dropped.
 pub struct Router {
     pub name: String,
+    words: Vec<String>,
+    settings: PathBuf,
+    log: PathBuf,
     pub front: SocketAddr,
     ready: SocketAddr,
     process: Child,
@@ -45,6 +48,21 @@
         let _ = self.process.wait();
     }
 
+    /// Starts the process again, as one of a site that has been in service.
+    pub fn restart(&mut self) {
+        let settings = fs::read_to_string(&self.settings).expect("settings can be read");
+        let settings = settings.replace("first_start: true", "first_start: false");
+        fs::write(&self.settings, settings).expect("settings can be written");
+        self.process = spawn(&self.words, &self.settings, &self.log);
+    }
+
+    /// Returns the lines of the log with an event.
+    pub fn logged(&self, event: &str) -> Vec<String> {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        let wanted = format!("event={event} ");
+        text.lines().filter(|line| line.contains(&wanted)).map(str::to_owned).collect()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.process.try_wait().is_ok_and(|status| status.is_some())
     }
@@ -64,6 +82,17 @@
     }
 }
 
+fn spawn(words: &[String], settings: &Path, log: &Path) -> Child {
+    let log = fs::OpenOptions::new().create(true).append(true).open(log).expect("a log");
+    Command::new(&words[0])
+        .args(&words[1..])
+        .env("WAGTAILMOOR_BOOT", settings)
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the router starts")
+}
+
 /// A small deployment.
 pub struct Site {
     pub store: Store,
@@ -72,6 +101,16 @@
     folder: PathBuf,
     /// First three parts of all addresses of this run.
     network: [u8; 3],
+    instances: Mutex<Vec<(String, Arc<Mutex<InstanceState>>)>>,
+}
+
+/// What an instance says of itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum InstanceState {
+    Ready,
+    Draining,
+    /// Its entry is removed.
+    Gone,
 }
 
 impl Site {
@@ -83,7 +122,8 @@
         fs::create_dir_all(&folder).expect("a temporary folder can be made");
         let store = Store::start(listen(network, 250));
         store.put("op", "config", config);
-        Self { store, record, routers: Vec::new(), folder, network }
+        let instances = Mutex::default();
+        Self { store, record, routers: Vec::new(), folder, network, instances }
     }
 
     /// Starts one router process in each zone, and waits until all of them are ready.
@@ -121,16 +161,10 @@
             let path = settings.to_string_lossy().into_owned();
             let words: Vec<String> =
                 run.split(' ').map(|word| word.replace(DEPLOYED_SETTINGS, &path)).collect();
-            let log = fs::File::create(self.folder.join(format!("{name}.log"))).expect("a log");
-            let process = Command::new(&words[0])
-                .args(&words[1..])
-                .env("WAGTAILMOOR_BOOT", &path)
-                .stdout(log)
-                .stderr(Stdio::null())
-                .spawn()
-                .expect("the router starts");
+            let log = self.folder.join(format!("{name}.log"));
+            let process = spawn(&words, &settings, &log);
             self.record.line(&format!("router {name} pid {} front {front}", process.id()));
-            self.routers.push(Router { name, front, ready, process });
+            self.routers.push(Router { name, words, settings, log, front, ready, process });
         }
         let end = Instant::now() + Duration::from_secs(20);
         while !self.routers.iter().all(Router::is_ready) {
@@ -164,12 +198,19 @@
             }
         });
         let (store, service, name) = (self.store.clone(), service.to_owned(), id.clone());
+        let state = Arc::new(Mutex::new(InstanceState::Ready));
+        self.instances.lock().expect("not poisoned").push((id.clone(), Arc::clone(&state)));
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis();
         thread::spawn(move || {
             for sequence in 1.. {
+                let state = match *state.lock().expect("not poisoned") {
+                    InstanceState::Ready => "ready",
+                    InstanceState::Draining => "draining",
+                    InstanceState::Gone => return store.remove("servers", &name),
+                };
                 let entry = format!(
                     "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
-                     \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\
+                     \"version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\
                      \"coldRemainingS\":0,\"sequence\":{sequence},\"born\":{born}}}"
                 );
                 store.put("servers", &name, &entry);
@@ -180,6 +221,14 @@
         id
     }
 
+    /// Changes what an instance says of itself with its next heartbeat.
+    pub fn set_state(&self, instance: &str, state: InstanceState) {
+        self.record.line(&format!("instance {instance} becomes {state:?}"));
+        let instances = self.instances.lock().expect("not poisoned");
+        let found = instances.iter().find(|(id, _)| id == instance).expect("a known instance");
+        *found.1.lock().expect("not poisoned") = state;
+    }
+
     /// Ends all processes and removes the temporary folder.
     pub fn stop(mut self) {
         self.routers.clear();
@@ -217,6 +266,11 @@
 
 /// Returns a config with one service, that is not divided by key, and one route to it.
 pub fn config(version: u32, kind: &str, prefix: &str, timeout_s: f64) -> String {
+    config_of(version, kind, prefix, timeout_s, false)
+}
+
+/// Returns a config with one service and one route to it.
+pub fn config_of(version: u32, kind: &str, prefix: &str, timeout_s: f64, sharded: bool) -> String {
     let target_latency_s = timeout_s / 2.5;
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r-27eya6u\",\"host\":\"{HOST}\",\
@@ -225,7 +279,7 @@
          \"maxAttempts\":2,\"allowAnonymous\":false}}],\
          \"services\":[{{\"name\":\"wuno96b\",\"healthCheckPath\":\"/health\",\
          \"maxConnections\":130,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":3.0,\
-         \"coldPerS\":3.5}}],\
+         \"coldPerS\":3.5,\"sharded\":{sharded},\"warmupS\":2.0}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeoutS\":3,\
          \"idleTimeoutS\":15}},\
          \"tenants\":[{{\"name\":\"{TENANT}\",\"apiKeys\":[\"{API_KEY}\"],\"priority\":0,\
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -2,37 +2,70 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::http::Connection;
 use crate::json::{Json, quote};
 
+#[derive(Clone)]
 struct Row {
     /// Content in base64; `None` once the row was removed.
     value: Option<String>,
     version: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Tables {
     rows: BTreeMap<(String, String), Row>,
     version: u64,
 }
 
+/// What the store does with a transaction that writes the table of owners.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum OwnersWrites {
+    #[default]
+    Applied,
+    /// The next one gets no answer and is kept, to be performed later if its condition still holds.
+    NextIsLate,
+    /// They are performed when the store's version is the one before this, which then is theirs.
+    AppliedAs(u64),
+    /// They get no answer and are not performed.
+    Lost,
+}
+
+/// Disruptions of the store.
+#[derive(Default)]
+struct Disruption {
+    is_away: bool,
+    owners_writes: OwnersWrites,
+    /// The transaction that may still be performed.
+    late: Option<String>,
+    copy: Option<Tables>,
+    /// Value of `Store-Era`; the field is left out at zero.
+    era: u64,
+    /// Whether instances and the operator have yet to write again what a restore lost.
+    waits_for_writers: bool,
+}
+
+/// Name of the table of owners.
+const OWNERS: &str = "ranges";
+
 /// The store; clones share their rows.
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
     tables: Arc<(Mutex<Tables>, Condvar)>,
+    disruption: Arc<Mutex<Disruption>>,
     started: Instant,
 }
 
 impl Store {
     pub fn start(listener: TcpListener) -> Self {
         let address = listener.local_addr().expect("a bound listener has an address");
-        let store = Self { address, tables: Arc::default(), started: Instant::now() };
+        let (tables, disruption) = (Arc::default(), Arc::default());
+        let store = Self { address, tables, disruption, started: Instant::now() };
         let serving = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -43,8 +76,77 @@
         store
     }
 
+    fn disruption(&self) -> MutexGuard<'_, Disruption> {
+        self.disruption.lock().expect("not poisoned")
+    }
+
+    /// Takes the copy from which the store will come back.
+    pub fn take_copy(&self) -> u64 {
+        let tables = self.tables.0.lock().expect("not poisoned").clone();
+        let version = tables.version;
+        self.disruption().copy = Some(tables);
+        version
+    }
+
+    /// Starts to state an era in all answers.
+    pub fn state_era(&self, era: u64) {
+        self.disruption().era = era;
+    }
+
+    pub fn set_away(&self, is_away: bool) {
+        self.disruption().is_away = is_away;
+        self.tables.1.notify_all();
+    }
+
+    /// Comes back from the copy. Instances write again what they wrote when the owners are written.
+    pub fn restore(&self) {
+        let mut disruption = self.disruption();
+        let copy = disruption.copy.clone().expect("a copy was taken");
+        disruption.era += 1;
+        disruption.is_away = false;
+        disruption.waits_for_writers = true;
+        *self.tables.0.lock().expect("not poisoned") = copy;
+        self.tables.1.notify_all();
+    }
+
+    pub fn on_owners_writes(&self, what: OwnersWrites) {
+        self.disruption().owners_writes = what;
+    }
+
+    /// Returns the version that the late transaction expects of the owners' row, if there is one.
+    pub fn late_expects(&self) -> Option<u64> {
+        let call = Json::parse(self.disruption().late.as_ref()?)?;
+        Some(call.list("expected").first()?.number("ver") as u64)
+    }
+
+    /// Performs the late transaction; returns whether its condition held.
+    pub fn perform_late(&self) -> bool {
+        let late = self.disruption().late.take();
+        late.is_some_and(|body| self.transact(&body).0 == "200 OK")
+    }
+
+    /// Returns the version of the row of a service's owners.
+    pub fn owners_version(&self, service: &str) -> u64 {
+        let tables = self.tables.0.lock().expect("not poisoned");
+        let row = tables.rows.get(&(OWNERS.to_owned(), service.to_owned()));
+        row.map_or(0, |row| row.version)
+    }
+
+    /// Removes the entry of an instance that has left.
+    pub fn remove(&self, table: &str, key: &str) {
+        let (lock, changed) = &*self.tables;
+        let mut tables = lock.lock().expect("not poisoned");
+        tables.version += 1;
+        let row = Row { value: None, version: tables.version };
+        tables.rows.insert((table.to_owned(), key.to_owned()), row);
+        changed.notify_all();
+    }
+
     /// Writes a row of the operator or of an instance.
     pub fn put(&self, table: &str, key: &str, content: &str) {
+        while self.disruption().is_away || self.disruption().waits_for_writers {
+            thread::sleep(Duration::from_millis(5));
+        }
         let (lock, changed) = &*self.tables;
         let mut tables = lock.lock().expect("not poisoned");
         tables.version += 1;
@@ -62,19 +164,78 @@
                 .filter_map(|pair| pair.split_once('='))
                 .map(|(name, value)| (name.to_owned(), decode_percent(value)))
                 .collect();
+            if self.disruption().is_away {
+                if connection.answer("503 Service Unavailable", "", b"").is_err() {
+                    return;
+                }
+                continue;
+            }
+            let body = String::from_utf8_lossy(&body);
+            let writes_owners = path == "/wagtailmoor/rows-tx" && writes_owners(&body);
+            if writes_owners && !self.lets_owners_pass(&body) {
+                // No answer, and nothing further on this connection.
+                thread::sleep(Duration::from_secs(2));
+                return;
+            }
             let (status, answer) = match path {
                 "/wagtailmoor/rows-get" => ("200 OK", self.get(&query)),
-                "/wagtailmoor/rows-feed" => ("200 OK", self.feed(&query)),
-                "/wagtailmoor/rows-tx" => self.transact(&String::from_utf8_lossy(&body)),
+                "/wagtailmoor/rows-feed" => self.feed(&query),
+                "/wagtailmoor/rows-tx" => self.transact(&body),
                 _ => ("404 Not Found", "{}".to_owned()),
             };
-            let fields = "Content-Type: application/json\r\n";
-            if connection.answer(status, fields, answer.as_bytes()).is_err() {
+            if writes_owners {
+                self.disruption().waits_for_writers = false;
+            }
+            let era = match self.disruption().era {
+                0 => String::new(),
+                era => format!("Store-Era: {era}\r\n"),
+            };
+            let fields = format!("Content-Type: application/json\r\n{era}");
+            if connection.answer(status, &fields, answer.as_bytes()).is_err() {
                 return;
             }
         }
     }
 
+    /// Handles a transaction on the owners as `OwnersWrites` says; returns whether it is performed now.
+    fn lets_owners_pass(&self, body: &str) -> bool {
+        let mut disruption = self.disruption();
+        let wanted = match disruption.owners_writes {
+            OwnersWrites::Applied => return true,
+            OwnersWrites::Lost => return false,
+            OwnersWrites::NextIsLate => {
+                disruption.late = Some(body.to_owned());
+                disruption.owners_writes = OwnersWrites::Lost;
+                return false;
+            }
+            OwnersWrites::AppliedAs(version) => version,
+        };
+        disruption.owners_writes = OwnersWrites::Lost;
+        drop(disruption);
+        self.write_again(wanted)
+    }
+
+    /// Instances write their entries again, until the next transaction gets a version. Returns whether
+    /// that version has not passed.
+    fn write_again(&self, next: u64) -> bool {
+        let (lock, changed) = &*self.tables;
+        let mut tables = lock.lock().expect("not poisoned");
+        let names: Vec<_> =
+            tables.rows.keys().filter(|(table, _)| table == "servers").cloned().collect();
+        for name in names.iter().cycle() {
+            if tables.version + 1 >= next {
+                break;
+            }
+            tables.version += 1;
+            let version = tables.version;
+            if let Some(row) = tables.rows.get_mut(name) {
+                row.version = version;
+            }
+        }
+        changed.notify_all();
+        tables.version + 1 == next
+    }
+
     fn page(&self, rows: Vec<String>, has_more: bool, version: u64) -> String {
         let now_s = self.started.elapsed().as_secs_f64();
         let rows = rows.join(",");
@@ -100,7 +261,7 @@
         self.page(rows, has_more, tables.version)
     }
 
-    fn feed(&self, query: &BTreeMap<String, String>) -> String {
+    fn feed(&self, query: &BTreeMap<String, String>) -> (&'static str, String) {
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
         let after: u64 = text("after").parse().unwrap_or(0);
         let wait = Duration::from_millis(text("waitMs").parse().unwrap_or(0).min(30_000));
@@ -110,13 +271,16 @@
         let tables = lock.lock().expect("not poisoned");
         let (tables, _) = changed
             .wait_timeout_while(tables, wait, |tables| {
-                !tables.rows.iter().any(|((of, _), row)| is_new(of, row))
+                after <= tables.version && !tables.rows.iter().any(|((of, _), row)| is_new(of, row))
             })
             .expect("not poisoned");
+        if after > tables.version {
+            return ("410 Gone", "{}".to_owned());
+        }
         let mut new: Vec<_> = tables.rows.iter().filter(|((of, _), row)| is_new(of, row)).collect();
         new.sort_by_key(|(_, row)| row.version);
         let rows = new.into_iter().map(|((table, key), row)| encode(table, key, row)).collect();
-        self.page(rows, false, tables.version)
+        ("200 OK", self.page(rows, false, tables.version))
     }
 
     fn transact(&self, body: &str) -> (&'static str, String) {
@@ -152,6 +316,11 @@
     }
 }
 
+fn writes_owners(body: &str) -> bool {
+    let call = Json::parse(body);
+    call.is_some_and(|call| call.list("writes").iter().any(|entry| entry.text("table") == OWNERS))
+}
+
 fn encode(table: &str, key: &str, row: &Row) -> String {
     let (table, key, version) = (quote(table), quote(key), row.version);
     match &row.value {
