--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,7 +1,7 @@
-//! Runs one case of the review: `review-standin-2 CASE RECORD`, in the repository's root.
+//! Runs one case of the review in the repository's root:
+//! `review-standin-2 CASE with-disruption|without-disruption RECORD`.
 //!
 //! Exits with 1 if the rule of the case was broken, 0 if it held, and 2 if the case could not run.
-//! With `TROUBLE=0` in the environment the disruption is left out.
 
 mod cut_answers;
 mod early_answer;
@@ -30,8 +30,12 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [case, path] = &arguments[..] else { return ExitCode::from(2) };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let [case, disruption, path] = &arguments[..] else { return ExitCode::from(2) };
+    let trouble = match disruption.as_str() {
+        "with-disruption" => true,
+        "without-disruption" => false,
+        _ => return ExitCode::from(2),
+    };
     let record = Record::create(path);
     record.say(&format!("case {case}, trouble {trouble}"));
     let run: fn(Record, bool) -> Finding = match case.as_str() {
