Bound the durations that clients and targets state

Cause: a target's Keep-Alive timeout was multiplied by a percentage as a Duration, which panics on overflow, and the panic ended the task of the client's connection with all requests on it. Retry-After was doubled in the same way on sites with load control.

The code behind them needs no check.

--- a/crates/admission/src/load_sample.rs
+++ b/crates/admission/src/load_sample.rs
@@ -1,8 +1,6 @@
 //! A load report of a target.
 
-use std::time::Duration;
-
-use wagtailmoor_core::Requests;
+use wagtailmoor_core::{ReportedDuration, Requests};
 
 /// The load that a target reports in a response.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -14,5 +12,5 @@
     /// Current service time in percent of the usual one.
     pub slowdown_percent: u32,
     /// Remaining time until the target is warm, if reported.
-    pub cold_for: Option<Duration>,
+    pub cold_for: Option<ReportedDuration>,
 }
--- a/crates/admission/src/return_delay.rs
+++ b/crates/admission/src/return_delay.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
-use wagtailmoor_core::{PartsPerMillion, Priority};
+use wagtailmoor_core::{PartsPerMillion, Priority, ReportedDuration};
 
 /// Longest delay of a request of the highest priority whose back end admits nearly all requests.
 const DELAY: Duration = Duration::from_millis(450);
@@ -31,7 +31,7 @@
     /// Admitted share of requests like this one.
     pub admitted: PartsPerMillion,
     /// Delay that the refusing target asked for.
-    pub requested: Option<Duration>,
+    pub requested: Option<ReportedDuration>,
     /// Time that the client has left.
     pub left: Duration,
     /// Time that a target takes for the request.
@@ -48,7 +48,7 @@
         }
         // The shortest delay is half of the longest, and not less than the target asked for.
         let longest =
-            self.requested.map_or_else(|| self.longest_delay(), |requested| requested * 2);
+            self.requested.map_or_else(|| self.longest_delay(), |requested| requested.get() * 2);
         Some(longest.clamp(DELAY_MIN, latest).mul_f64(random.random_range(0.5..1.0)))
     }
 
--- a/crates/admission/tests/return_delay.rs
+++ b/crates/admission/tests/return_delay.rs
@@ -64,6 +64,7 @@
 #[test]
 fn the_delay_of_a_target_is_respected() {
     let requested = Duration::from_millis(900);
-    let refused = RefusedRequest { requested: Some(requested), ..refused(0, 1_000_000, 60_000) };
+    let refused =
+        RefusedRequest { requested: Some(requested.into()), ..refused(0, 1_000_000, 60_000) };
     assert!(delays(refused).into_iter().all(|delay| delay >= requested && delay < requested * 2));
 }
--- a/crates/dispatch/src/failure.rs
+++ b/crates/dispatch/src/failure.rs
@@ -1,8 +1,6 @@
 //! Failures of attempts.
 
-use std::time::Duration;
-
-use wagtailmoor_core::Reason;
+use wagtailmoor_core::{Reason, ReportedDuration};
 
 use crate::Ending;
 
@@ -11,7 +9,7 @@
 pub(crate) struct Failure {
     pub(crate) reason: Reason,
     pub(crate) ending: Ending,
-    pub(crate) retry_after: Option<Duration>,
+    pub(crate) retry_after: Option<ReportedDuration>,
 }
 
 impl Failure {
--- a/crates/dispatch/src/observation.rs
+++ b/crates/dispatch/src/observation.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtailmoor_core::Instant;
+use wagtailmoor_core::{Instant, ReportedDuration};
 use wagtailmoor_derive::value;
 
 /// Result of one attempt, from which the target table judges the target.
@@ -18,7 +18,7 @@
     /// The target refused the request without running it.
     Refused {
         /// Delay that the target requests before the next attempt.
-        retry_after: Option<Duration>,
+        retry_after: Option<ReportedDuration>,
     },
     /// The target does not own the key and did not run the request.
     Misdirected,
--- a/crates/dispatch/src/plan_input.rs
+++ b/crates/dispatch/src/plan_input.rs
@@ -1,8 +1,6 @@
 //! Events that a request plan handles.
 
-use std::time::Duration;
-
-use wagtailmoor_core::{Instant, Reason, TargetId};
+use wagtailmoor_core::{Instant, Reason, ReportedDuration, TargetId};
 
 use crate::AttemptId;
 
@@ -14,7 +12,7 @@
     /// Whether the target reports that it did not run the request.
     pub not_run: bool,
     /// Delay that the target requests before the next attempt.
-    pub retry_after: Option<Duration>,
+    pub retry_after: Option<ReportedDuration>,
     /// Whether the target reports that it is cold.
     pub cold: bool,
 }
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -128,7 +128,7 @@
             Observation::Refused { retry_after } => {
                 self.latency.reset_silence(now);
                 self.restart_step(now);
-                let backoff = retry_after.unwrap_or_default().min(settings.backoff_max);
+                let backoff = retry_after.unwrap_or_default().get().min(settings.backoff_max);
                 self.retry_at = self.retry_at.max(now + backoff);
             }
             Observation::Misdirected => {
--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -1,8 +1,6 @@
 //! Final result of a request.
 
-use std::time::Duration;
-
-use wagtailmoor_core::{Outcome, Reason};
+use wagtailmoor_core::{Outcome, Reason, ReportedDuration};
 use wagtailmoor_derive::{scalar, value};
 
 /// Way in which a request ended.
@@ -41,7 +39,7 @@
     /// HTTP status of the response whose head was forwarded, or `None` if there was none.
     pub status: Option<u16>,
     /// Delay that the refusing target requests before the next attempt.
-    pub retry_after: Option<Duration>,
+    pub retry_after: Option<ReportedDuration>,
 }
 
 impl Verdict {
--- a/crates/dispatch/tests/support/target.rs
+++ b/crates/dispatch/tests/support/target.rs
@@ -5,7 +5,7 @@
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use wagtailmoor_core::{Instant, Requests};
+use wagtailmoor_core::{Instant, ReportedDuration, Requests};
 use wagtailmoor_dispatch::{LoadReport, ReportedState, ResponseHead};
 
 use super::world::Arrival;
@@ -56,7 +56,7 @@
         let cold = now < self.cold_until;
         let answer = ResponseHead { status: 200, not_run: false, retry_after: None, cold };
         let mean_ms = if cold { 40 } else { 4 };
-        let retry_after = Some(Duration::from_millis(random.random_range(0..200)));
+        let retry_after = Some(ReportedDuration::from_millis(random.random_range(0..200)));
         let refusal = ResponseHead { status: 503, not_run: true, retry_after, cold };
         let misdirected = ResponseHead { status: 421, not_run: true, retry_after: None, cold };
         let ms = random.random_range(1..2 * mean_ms);
--- a/crates/dispatch/tests/targets.rs
+++ b/crates/dispatch/tests/targets.rs
@@ -5,7 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use rstest::rstest;
-use wagtailmoor_core::{Instant, Requests, TargetId, ZoneId};
+use wagtailmoor_core::{Instant, ReportedDuration, Requests, TargetId, ZoneId};
 use wagtailmoor_dispatch::{
     BalancingPolicy, Candidate, ChoiceRequest, ColdCause, InFlight, LeastConnections, LoadReport,
     Member, MemberState, Observation, PowerOfTwo, ReportedState, RoundRobin, TargetSettings,
@@ -245,7 +245,7 @@
     fixture.report(20, ReportedState::Warm, 500);
     assert!(fixture.choose(20, true).is_none(), "an older report does not replace a newer one");
     fixture.report(30, ReportedState::Warm, 0);
-    let retry_after = Some(Duration::from_millis(100));
+    let retry_after = Some(ReportedDuration::from_millis(100));
     fixture.table.observe(at_ms(30), &id(0), &Observation::Refused { retry_after });
     assert!(fixture.choose(129, true).is_none());
     assert!(fixture.choose(130, true).is_some());
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -8,7 +8,8 @@
 use tokio::time::timeout;
 use wagtailmoor_configuration::{BackEndKind, IdempotencyKeyUse, ResolvedRoute};
 use wagtailmoor_core::{
-    Epoch, Incarnation, Instant, KeyHash, Outcome, Priority, Reason, SlotId, TargetId, Weight,
+    Epoch, Incarnation, Instant, KeyHash, Outcome, Priority, Reason, ReportedDuration, SlotId,
+    TargetId, Weight,
 };
 use wagtailmoor_dispatch::{
     AttemptId, Fingerprint, Observation, RecordKey, RecordRefusal, RecordState, TimeBucket, Verdict,
@@ -246,7 +247,7 @@
     fn retry_after(&self, _call: &Call, verdict: &Verdict) -> Option<Duration> {
         match verdict.reason {
             Some(Reason::OwnerMoving | Reason::OwnerUnknown) => Some(MOVE_RETRY_AFTER),
-            _ => verdict.retry_after,
+            _ => verdict.retry_after.map(ReportedDuration::get),
         }
     }
 
@@ -434,7 +435,7 @@
         record_key: Option<Rc<str>>,
     ) -> Call {
         let request_max = route.back_end.request_max();
-        let timeout = head.deadline.unwrap_or(request_max).min(request_max);
+        let timeout = head.deadline.map_or(request_max, |wait| wait.get().min(request_max));
         let key = match route.back_end.kind {
             BackEndKind::Keyed => route.key.map(|key| KeyHash::of(key.as_bytes())),
             BackEndKind::Pooled => None,
--- a/crates/front/src/gateway.rs
+++ b/crates/front/src/gateway.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use wagtailmoor_core::{
-    BackEndId, CustomerId, Epoch, Instant, KeyDigest, KeyHash, Priority, Reason, ShardKey, SlotId,
-    TargetId, TemplateId, Weight,
+    BackEndId, CustomerId, Epoch, Instant, KeyDigest, KeyHash, Priority, Reason, ReportedDuration,
+    ShardKey, SlotId, TargetId, TemplateId, Weight,
 };
 use wagtailmoor_dispatch::{
     AttemptId, CrashLedger, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
@@ -35,7 +35,7 @@
     /// Numeric application key that selects the range of a sharded back end.
     pub shard_key: Option<ShardKey>,
     /// Timeout that the client stated.
-    pub deadline: Option<Duration>,
+    pub deadline: Option<ReportedDuration>,
 }
 
 /// A request that was matched to a route and may run as soon as the customer has credit.
--- a/crates/front/src/headers.rs
+++ b/crates/front/src/headers.rs
@@ -1,12 +1,10 @@
 //! Header fields that the front end reads, adds or removes.
 
-use std::time::Duration;
-
 use http::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TE,
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use wagtailmoor_core::KeyDigest;
+use wagtailmoor_core::{KeyDigest, ReportedDuration};
 
 /// Outcome of a request: `answered`, `not-run` or `unknown`.
 pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("wagtailmoor-outcome");
@@ -103,10 +101,10 @@
 }
 
 /// Returns the idle timeout stated in a `Keep-Alive` field.
-pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<ReportedDuration> {
     let value = single_value(headers, &KEEP_ALIVE)?;
     let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.trim().parse().ok().map(Duration::from_secs)
+    timeout.trim().parse().ok()
 }
 
 /// Encodes an id, which consists of visible ASCII characters.
--- a/crates/front/src/native_dialect.rs
+++ b/crates/front/src/native_dialect.rs
@@ -7,7 +7,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::Full;
-use wagtailmoor_core::{Outcome, Reason, millis};
+use wagtailmoor_core::{Outcome, Reason, ReportedDuration, millis};
 use wagtailmoor_dispatch::ResponseHead;
 
 use crate::dialect::{AttemptHead, Dialect};
@@ -53,7 +53,7 @@
         let deadline =
             match headers::single_value(&parts.headers, &headers::DEADLINE_MS).map(str::parse) {
                 None => None,
-                Some(Ok(deadline_ms)) => Some(Duration::from_millis(deadline_ms)),
+                Some(Ok(deadline_ms)) => Some(ReportedDuration::from_millis(deadline_ms)),
                 Some(Err(_)) => return Err(bad("wagtailmoor-deadline-ms must be a whole number")),
             };
         Ok(RequestHead {
@@ -100,10 +100,9 @@
     ) -> Option<ResponseHead> {
         let retry_ms = headers::single_value(fields, &headers::RETRY_AFTER_MS)
             .and_then(|text| text.parse().ok())
-            .map(Duration::from_millis);
-        let retry_s = headers::single_value(fields, &RETRY_AFTER)
-            .and_then(|text| text.parse().ok())
-            .map(Duration::from_secs);
+            .map(ReportedDuration::from_millis);
+        let retry_s =
+            headers::single_value(fields, &RETRY_AFTER).and_then(|text| text.parse().ok());
         Some(ResponseHead {
             status: status.as_u16(),
             not_run: headers::single_value(fields, &headers::OUTCOME) == Some("not-run"),
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -59,7 +59,7 @@
     /// Sets the idle timeout from the `Keep-Alive` field of a response.
     pub(crate) fn set_idle_timeout(&mut self, fields: &HeaderMap) {
         if let Some(timeout) = headers::keep_alive_timeout(fields) {
-            self.idle_max = timeout * IDLE_USED_PERCENT / 100;
+            self.idle_max = timeout.get() * IDLE_USED_PERCENT / 100;
         }
     }
 }
--- a/crates/front/tests/golden.rs
+++ b/crates/front/tests/golden.rs
@@ -82,3 +82,21 @@
     assert!(transcript.contains(&format!("    wagtailmoor-reason: {reason}\n")), "{transcript}");
     assert!(transcript.contains("event=refused"), "{transcript}");
 }
+
+// Guards against a number in the answer of one target that ends the task of the client's
+// connection: the requests behind it, which other targets have answered, would get no answer.
+#[rstest]
+#[case::zero("0")]
+#[case::negative("-1")]
+#[case::fraction("0.5")]
+#[case::exponent("1e400")]
+#[case::more_digits_than_any_integer("99999999999999999999999999999999999999999")]
+#[case::infinity("inf")]
+#[case::no_number("NaN")]
+#[case::empty("")]
+fn stated_timeout_ends_no_other_request(#[case] timeout: &str) {
+    let session = std::fs::read_to_string(session_path("keep_alive_out_of_range.txt")).unwrap();
+    let stated = session.replace("timeout=9223372036854775807", &format!("timeout={timeout}"));
+    assert_ne!(stated, session);
+    assert_eq!(run_session(&stated), stated);
+}
--- a/crates/front/tests/support/gateway.rs
+++ b/crates/front/tests/support/gateway.rs
@@ -105,7 +105,7 @@
             id: AttemptId::new(self.calls.get() << 8),
             request_id: None,
             received_at: now,
-            deadline: now + head.deadline.unwrap_or(Duration::from_secs(60)),
+            deadline: now + head.deadline.map_or(Duration::from_secs(60), Duration::from),
             customer: Some("acme".parse().unwrap()),
             weight: Weight::new(1),
             priority: Priority::NEUTRAL,
@@ -236,7 +236,7 @@
     fn retry_after(&self, _call: &Call, verdict: &Verdict) -> Option<Duration> {
         match verdict.reason {
             Some(Reason::OwnerMoving | Reason::OwnerUnknown) => Some(Duration::from_secs(1)),
-            _ => verdict.retry_after,
+            _ => verdict.retry_after.map(Duration::from),
         }
     }
 
--- a/crates/router/src/admission_control.rs
+++ b/crates/router/src/admission_control.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use wagtailmoor_admission::{PooledCapacity, RefusedRequest, RequestClass};
-use wagtailmoor_core::{BackEndId, Instant, Reason};
+use wagtailmoor_core::{BackEndId, Instant, Reason, ReportedDuration};
 use wagtailmoor_front::{Call, Refusal};
 use wagtailmoor_ranges::TargetProcess;
 use wagtailmoor_site::Target;
@@ -40,7 +40,7 @@
     state: &mut RouterState,
     now: Instant,
     call: &Call,
-    requested: Option<Duration>,
+    requested: Option<ReportedDuration>,
 ) -> Option<Duration> {
     let RouterState { admission_gate, random, .. } = state;
     let refused = RefusedRequest {
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -6,8 +6,8 @@
 use rand::RngExt;
 use wagtailmoor_admission::{LoadSample, RunningGuard, UnansweredGuard};
 use wagtailmoor_core::{
-    BackEndId, CustomerId, Epoch, Instant, KeyHash, Outcome, Priority, Reason, SlotId, TargetId,
-    TemplateId, Weight,
+    BackEndId, CustomerId, Epoch, Instant, KeyHash, Outcome, Priority, Reason, ReportedDuration,
+    SlotId, TargetId, TemplateId, Weight,
 };
 use wagtailmoor_dispatch::{
     AttemptId, BodyTimeout, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
@@ -177,7 +177,7 @@
         }
         let keyed = config.back_end(&back_end).is_some_and(|rule| rule.keyed);
         let shard_key = head.shard_key.filter(|_| keyed);
-        let timeout = head.deadline.map_or(route.timeout, |wait| wait.min(route.timeout));
+        let timeout = head.deadline.map_or(route.timeout, |wait| wait.get().min(route.timeout));
         let deadline = deadline(now, timeout, route.idempotent, *shutdown_deadline)?;
         let mut call = Call {
             id: AttemptId::new(random.random()),
@@ -410,7 +410,7 @@
         state.room.on_load_report(target, load);
         state.picker.load(target).on_load_report(now, load);
         if let Some(left) = load.cold_for {
-            state.registry.set_cold(now, target, left);
+            state.registry.set_cold(now, target, left.get());
         }
     }
 
@@ -439,7 +439,9 @@
                 let (now, mut state) = (self.now(), self.shared.write());
                 admission_control::retry_after(&mut state, now, call, verdict.retry_after)
             }
-            (Outcome::NotRun, _) => verdict.retry_after.or(Some(BUSY_RETRY_AFTER)),
+            (Outcome::NotRun, _) => {
+                Some(verdict.retry_after.map_or(BUSY_RETRY_AFTER, ReportedDuration::get))
+            }
             _ => None,
         }
     }
