Keep closed client connections until the client has read its answers

Cause: at the end of a connection the socket was closed with answers in the kernel's send buffer. A request that the client sent before it knew of the close made the kernel reset the connection and drop them.

Change: connection_close ends the sending direction and waits until the client closes, 5 s after the last write at most. Behind an announced close it discards what arrives; otherwise it leaves that unread, as a request that was read could not be sent again.

--- a/crates/front/src/checked_stream.rs
+++ b/crates/front/src/checked_stream.rs
@@ -10,6 +10,7 @@
 use bytes::{Buf, BytesMut};
 use http::request::Parts;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Instant;
 
 use crate::head_check::{HeadCheck, RejectedHead, Segment};
 
@@ -31,6 +32,18 @@
     pub(crate) answered: Cell<u64>,
     /// The head that was rejected, if any.
     pub(crate) rejected: Cell<Option<RejectedHead>>,
+    /// Whether the client has closed or reset the connection.
+    pub(crate) closed_by_client: Cell<bool>,
+    /// When the last bytes of a response were written.
+    pub(crate) written_at: Cell<Option<Instant>>,
+}
+
+impl ConnectionState {
+    fn on_write(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(_))) {
+            self.written_at.set(Some(Instant::now()));
+        }
+    }
 }
 
 /// Handles requests that arrive while earlier requests on their connection are running.
@@ -64,6 +77,11 @@
         Self { inner, check, requests: VecDeque::new(), first_request: 0, state, pipeline }
     }
 
+    /// Returns the socket; bytes that were read from it and not passed on are dropped.
+    pub(crate) fn into_inner(self) -> S {
+        self.inner
+    }
+
     fn receive(&mut self, received: &[u8]) {
         let mut segments = Vec::new();
         let checked = self.check.accept(received, &mut segments);
@@ -127,9 +145,14 @@
             let mut storage = [0; READ_BYTES];
             let mut received = ReadBuf::new(&mut storage);
             match Pin::new(&mut this.inner).poll_read(context, &mut received) {
-                Poll::Ready(Ok(())) if received.filled().is_empty() => return Poll::Ready(Ok(())),
-                Poll::Ready(Ok(())) => this.receive(received.filled()),
-                other => return other,
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(())) if !received.filled().is_empty() => {
+                    this.receive(received.filled());
+                }
+                ended => {
+                    this.state.closed_by_client.set(true);
+                    return ended;
+                }
             }
         }
     }
@@ -141,7 +164,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().inner).poll_write(context, bytes)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.inner).poll_write(context, bytes);
+        this.state.on_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -149,7 +175,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().inner).poll_write_vectored(context, slices)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.inner).poll_write_vectored(context, slices);
+        this.state.on_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod body;
 mod checked_stream;
+mod connection_close;
 mod dialect;
 mod exchange;
 mod gateway;
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
 
 use crate::body::{self, ClientFault, CollectedBody, FaultCell};
 use crate::checked_stream::{CheckedStream, ConnectionState, PipelineHandler};
+use crate::connection_close::{self, Announcement};
 use crate::dialect::Dialect;
 use crate::exchange::{AdmittedRequest, Exchange};
 use crate::gateway::{Call, Gateway};
@@ -148,11 +149,13 @@
         // Nagle's algorithm delays small responses until earlier packets are acknowledged.
         drop(stream.set_nodelay(true));
         let state = Rc::new(ConnectionState::default());
+        let announcement = Cell::new(Announcement::Unannounced);
         let pipelined_requests = Rc::new(PipelinedRequests::default());
         let service = service_fn(|request| {
             let number = state.started.replace(state.started.get() + 1);
             let rejected = state.rejected.get().filter(|rejected| rejected.request == number);
             let (state, pipelined_requests) = (&state, &pipelined_requests);
+            let announcement = &announcement;
             async move {
                 let response = match (rejected, over_limit) {
                     (Some(rejected), _) => {
@@ -165,10 +168,14 @@
                     },
                 };
                 state.answered.set(number + 1);
-                Ok::<_, Infallible>(match pipelined_requests.is_finished() {
+                let response = match pipelined_requests.is_finished() {
                     true => closing(response),
                     false => response,
-                })
+                };
+                if announces_close(&response) {
+                    announcement.set(Announcement::Announced);
+                }
+                Ok::<_, Infallible>(response)
             }
         });
         let head_max_bytes = self.limits.head_max_bytes;
@@ -177,29 +184,39 @@
             pipelined_requests: Rc::clone(&pipelined_requests),
         };
         let stream = CheckedStream::new(stream, head_max_bytes, Rc::clone(&state), pipelined);
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.head_timeout)
             .max_buf_size(head_max_bytes.max(HYPER_BUFFER_MIN_BYTES))
             .keep_alive(!over_limit)
             .serve_connection(TokioIo::new(stream), service);
-        let mut connection = pin!(connection);
-        let stopped = tokio::select! {
-            // Connection errors are ignored here; each request reports its own end.
-            _ = connection.as_mut() => false,
-            _ = stop.wait_for(|stop| *stop) => true,
+        // Connection errors are ignored here; each request reports its own end.
+        let ended = tokio::select! {
+            _ = &mut connection => true,
+            _ = stop.wait_for(|stop| *stop) => false,
         };
-        if !stopped {
-            return;
+        if !ended {
+            // Clients get the responses to the requests that are running, but further ones are not
+            // read.
+            pipelined_requests.close();
+            let ended = tokio::select! {
+                _ = &mut connection => true,
+                () = pipelined_requests.all_awaited() => false,
+            };
+            if !ended {
+                Pin::new(&mut connection).graceful_shutdown();
+                drop((&mut connection).await);
+            }
         }
-        // Clients get the responses to the requests that are running, but further ones are not read.
-        pipelined_requests.close();
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = pipelined_requests.all_awaited() => {}
+        // Drops what still runs for the connection, so that the targets cancel it.
+        let stream = connection.into_parts().io.into_inner().into_inner();
+        drop(pipelined_requests);
+        match state.written_at.get() {
+            Some(written_at) if !state.closed_by_client.get() => {
+                connection_close::close(stream, announcement.get(), written_at).await;
+            }
+            _ => {}
         }
-        connection.as_mut().graceful_shutdown();
-        drop(connection.await);
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Response<ResponseBody<G>> {
@@ -307,6 +324,11 @@
     }
 }
 
+/// Returns whether a response tells the client that its connection is closed behind it.
+fn announces_close<B>(response: &Response<B>) -> bool {
+    response.headers().get(CONNECTION).is_some_and(|value| value == "close")
+}
+
 /// Marks a response as the last one on its connection.
 fn closing<B>(mut response: Response<B>) -> Response<B> {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/front/tests/support/runner.rs
+++ b/crates/front/tests/support/runner.rs
@@ -2,21 +2,26 @@
 //!
 //! A line without indentation is a step. The indented lines after it are its output: the received
 //! message, or the recorded gateway calls. Steps of `client`, `t1` and `t2` act on the client's
-//! connection and on the connections that the two targets accept.
+//! connection and on the connections that the two targets accept. `wait-ms` gives a server with a
+//! fault the time to show it; no output depends on its length.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use wagtailmoor_front::{FrontLimits, Server};
 
 use super::gateway::ScriptedGateway;
 use super::wire::Wire;
 
+/// Receive buffer of a slow client. Most of a long response stays in the server's send buffer until
+/// the client reads.
+const SLOW_BUFFER_BYTES: u32 = 4 * 1024;
+
 /// Limit that only a hanging session reaches.
 const HANG_LIMIT: Duration = Duration::from_secs(60);
 
@@ -101,6 +106,10 @@
                 self.stop.send_replace(true);
                 Vec::new()
             }
+            "wait-ms" => {
+                sleep(Duration::from_millis(rest.parse().unwrap())).await;
+                Vec::new()
+            }
             "wait-finished" => self.wait_finished(rest.parse().unwrap()).await,
             "gateway-calls" => self.gateway_calls().await,
             _ => panic!("unknown step {step}"),
@@ -114,6 +123,12 @@
                 self.client = Some(Wire::new(stream));
                 Vec::new()
             }
+            "connect-slow" => {
+                let socket = TcpSocket::new_v4().unwrap();
+                socket.set_recv_buffer_size(SLOW_BUFFER_BYTES).unwrap();
+                self.client = Some(Wire::new(socket.connect(self.address).await.unwrap()));
+                Vec::new()
+            }
             "disconnect" => {
                 self.client = None;
                 Vec::new()
