Reserve fencing tokens where no late write can hide them

Cause: the highest fencing token of an era stood only in the row with the owners. After a restore the versions of rows are issued again, so a write of the former era that is performed late can replace that row. When all routers restart then, nobody knows the owners, and the next leader counts from the start of the era.

Change: a leader issues tokens only from blocks that it has reserved in a row whose name contains the era, which no write of a former era names. Tokens run out only as far as a further block is missing; owners are renewed meanwhile. Stores without Store-Era have no such row.

--- a/crates/ranges/src/range_assigner.rs
+++ b/crates/ranges/src/range_assigner.rs
@@ -2,15 +2,16 @@
 
 use std::time::Duration;
 
-use wagtailmoor_core::{Epoch, Instant, ShardKey, SortedVec, StoreEra, TargetId};
+use wagtailmoor_core::{Epoch, Instant, ShardKey, SortedVec, TargetId};
 
 use crate::range_entry::{RangeEntry, RangeState};
 use crate::range_list::RangeList;
 use crate::range_share::divide;
 use crate::release::Release;
 use crate::{
-    AssignerSettings, AssignmentTable, Authority, Balancer, Command, GrantOutcome, KeyLoad,
-    KeyRange, Member, RangeShare, ReleaseOutcome, StoreOutcome, TargetCapacity, TargetProcess,
+    AssignerSettings, AssignmentTable, Authority, Balancer, Command, EpochBlock, GrantOutcome,
+    KeyLoad, KeyRange, Member, RangeShare, ReleaseOutcome, StoreOutcome, TargetCapacity,
+    TargetProcess,
 };
 
 /// Time constant of the load average that reveals a hot range within a second.
@@ -41,6 +42,10 @@
 /// Maximum number of parts into which a vacant range is split.
 const SPLIT_PARTS_MAX: u32 = 8;
 
+/// Upper bound of the fencing tokens that one tick uses for a range: for its release and for the
+/// parts into which it is split.
+const EPOCHS_PER_RANGE: u64 = 2 + SPLIT_PARTS_MAX as u64;
+
 /// Assigns the ranges of one back end to targets. The caller executes the commands that it returns
 /// and reports their outcomes.
 ///
@@ -153,18 +158,27 @@
         assigner
     }
 
-    /// Uses only fencing tokens of this era of the store, or of a later one, for what is assigned
-    /// from now on.
-    pub fn in_era(mut self, era: StoreEra) -> Self {
-        self.ranges.mark_former_eras_used(era);
-        self
+    /// Issues only fencing tokens of a block from now on, in a store that states its era.
+    pub fn use_epochs(&mut self, block: &EpochBlock) {
+        self.ranges.use_block(block);
+    }
+
+    /// Returns whether another block of fencing tokens should be reserved.
+    pub fn needs_epochs(&self) -> bool {
+        self.ranges.epochs_left() < EpochBlock::LEN / 2
+    }
+
+    /// Returns the highest fencing token that a leader may have issued whose last stored table is
+    /// known.
+    pub fn possibly_issued(table: &AssignmentTable) -> Epoch {
+        RangeList::possibly_used(table)
     }
 
     /// Continues in a new era of the store, which may have lost the newest owners. They are stored
-    /// again under new fencing tokens before the next grant or release.
-    pub fn enter_era(&mut self, now: Instant, era: StoreEra) {
+    /// again under fencing tokens of a block of that era before the next grant or release.
+    pub fn enter_era(&mut self, now: Instant, block: &EpochBlock) {
         let others_expire = self.others_expire(self.authority.sole_from);
-        self.ranges.enter_era(now, era, others_expire);
+        self.ranges.enter_era(now, block, others_expire);
         self.others_until = others_expire;
         self.storing = None;
         self.store_at = now;
@@ -256,6 +270,17 @@
         }
         self.recently_exited.retain(|(_, until)| *until > now);
         self.unreachable.retain(|(_, until)| *until > now);
+        if self.has_epochs() {
+            self.change_owners(now);
+        }
+        let mut commands = self.renewals(now);
+        commands.extend(self.releases(now));
+        commands.extend(self.store(now));
+        commands
+    }
+
+    /// Starts the releases and assignments that are due.
+    fn change_owners(&mut self, now: Instant) {
         self.update_lost_owners(now);
         if self.authority.may_move(now) {
             self.start_releases_of_leaving(now);
@@ -263,10 +288,12 @@
             self.merge_ranges(now);
         }
         self.assign_vacant(now);
-        let mut commands = self.renewals(now);
-        commands.extend(self.releases(now));
-        commands.extend(self.store(now));
-        commands
+    }
+
+    /// Returns whether enough fencing tokens are left for all that one tick may assign and release.
+    fn has_epochs(&self) -> bool {
+        let changes_max = (self.ranges.len() + self.members.len()) as u64 * EPOCHS_PER_RANGE;
+        self.ranges.epochs_left() >= changes_max
     }
 
     /// Records the outcome of a grant that was sent at `sent_at`.
--- a/crates/ranges/src/range_list.rs
+++ b/crates/ranges/src/range_list.rs
@@ -2,28 +2,29 @@
 
 use std::slice::{Iter, IterMut};
 
-use wagtailmoor_core::{Epoch, Instant, StoreEra};
+use wagtailmoor_core::{Epoch, Instant};
 
+use crate::epoch_source::EpochSource;
 use crate::range_entry::{RangeEntry, RangeState};
 use crate::release::Release;
-use crate::{Assignment, AssignmentTable, KeyRange, Move, TargetProcess};
+use crate::{Assignment, AssignmentTable, EpochBlock, KeyRange, Move, TargetProcess};
 
 /// Epochs that a new leader skips. The previous leader may have used one epoch to release each
 /// range without storing it, and a row of the store has room for fewer ranges than this.
 const EPOCH_GAP: u64 = 4_096;
 
-/// All ranges of a back end, sorted and without gaps, and the highest epoch used so far.
+/// All ranges of a back end, sorted and without gaps, and the source of their epochs.
 #[derive(Debug)]
 pub(crate) struct RangeList {
     entries: Vec<RangeEntry>,
-    last_epoch: Epoch,
+    epochs: EpochSource,
 }
 
 impl RangeList {
     /// Creates the list of a back end whose keys never had an owner.
     pub(crate) fn unassigned(now: Instant) -> Self {
         let entries = vec![RangeEntry::unassigned(KeyRange::ALL, now)];
-        Self { entries, last_epoch: Epoch::default() }
+        Self { entries, epochs: EpochSource::default() }
     }
 
     /// Creates the list from a stored table whose grants expire at `expires` at the latest.
@@ -39,8 +40,8 @@
             state: RangeState::Granted { renew_at: now },
         });
         let gaps = table.gaps().into_iter().map(|range| RangeEntry::unassigned(range, expires));
-        let last_epoch = Epoch::new(table.last_epoch().get() + EPOCH_GAP);
-        let mut list = Self { entries: assigned.chain(gaps).collect(), last_epoch };
+        let epochs = EpochSource::after(Self::possibly_used(table));
+        let mut list = Self { entries: assigned.chain(gaps).collect(), epochs };
         list.sort();
         list
     }
@@ -54,22 +55,32 @@
         };
         let known_ranges = known.iter().map(|known| vacant(known.range, Some(known.owner.clone())));
         let gaps = known.gaps().into_iter().map(|range| vacant(range, None));
-        let last_epoch = Epoch::new(known.last_epoch().get() + EPOCH_GAP);
-        let mut list = Self { entries: known_ranges.chain(gaps).collect(), last_epoch };
+        let epochs = EpochSource::after(Self::possibly_used(known));
+        let mut list = Self { entries: known_ranges.chain(gaps).collect(), epochs };
         list.sort();
         list
     }
 
-    /// Marks all epochs as used that were issued before an era.
-    pub(crate) fn mark_former_eras_used(&mut self, era: StoreEra) {
-        self.last_epoch = self.last_epoch.max(Epoch::base_of(era));
+    /// Returns the highest epoch that a leader may have used whose last table is known.
+    pub(crate) fn possibly_used(table: &AssignmentTable) -> Epoch {
+        Epoch::new(table.last_epoch().get() + EPOCH_GAP)
+    }
+
+    /// Uses only epochs of a block from now on.
+    pub(crate) fn use_block(&mut self, block: &EpochBlock) {
+        self.epochs.use_block(block);
+    }
+
+    /// Returns the number of epochs that may still be used.
+    pub(crate) fn epochs_left(&self) -> u64 {
+        self.epochs.remaining()
     }
 
     /// Gives each owner an epoch of a new era. No grant that any process sent before expires before
     /// `others_expire`. The next grants and releases use the new epochs; the outcomes of those in
     /// flight no longer count.
-    pub(crate) fn enter_era(&mut self, now: Instant, era: StoreEra, others_expire: Instant) {
-        self.mark_former_eras_used(era);
+    pub(crate) fn enter_era(&mut self, now: Instant, block: &EpochBlock, others_expire: Instant) {
+        self.use_block(block);
         for index in 0..self.entries.len() {
             let epoch = self.allocate_epoch();
             let release_epoch = self.allocate_epoch();
@@ -108,14 +119,13 @@
                 table.insert(Assignment { range: entry.range, owner, epoch: entry.epoch });
             }
         }
-        table.mark_epochs_used(self.last_epoch);
+        table.mark_epochs_used(self.epochs.last());
         table
     }
 
     /// Allocates an epoch that is higher than any used before.
     pub(crate) fn allocate_epoch(&mut self) -> Epoch {
-        self.last_epoch = self.last_epoch.next();
-        self.last_epoch
+        self.epochs.allocate()
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/ranges/tests/schedules.rs
+++ b/crates/ranges/tests/schedules.rs
@@ -44,7 +44,8 @@
 
 // Guards against two owners of a key and against epochs that do not rise, when the store is restored
 // from an older table at random moments and issues its versions again, so that leaders act by owners
-// that the store no longer has and late writes replace newer ones.
+// that the store no longer has and late writes replace newer ones, also where no process remembers
+// the newer ones.
 #[test]
 fn restores_of_the_store_give_no_key_two_owners() {
     let mut moves = 0;
@@ -61,6 +62,7 @@
 #[rstest]
 #[case(InjectedBug::TrustsRestoredOwners)]
 #[case(InjectedBug::IgnoresEras)]
+#[case(InjectedBug::IgnoresReservations)]
 fn injected_bugs_of_restores_are_detected(#[case] injected_bug: InjectedBug) {
     let found = seeds(INJECTED_BUG_SEED_COUNT).any(|seed| {
         let mut world = World::new(seed, injected_bug).with_restores();
--- a/crates/ranges/tests/world/mod.rs
+++ b/crates/ranges/tests/world/mod.rs
@@ -7,10 +7,10 @@
 use fake_target::{FakeTarget, Ownership};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use wagtailmoor_core::{Epoch, Incarnation, Instant, ShardKey, StoreEra};
+use wagtailmoor_core::{Epoch, Incarnation, Instant, ShardKey, SortedVec, StoreEra};
 use wagtailmoor_ranges::{
-    AssignerSettings, AssignmentTable, Authority, Command, GrantOutcome, KeyRange, Member,
-    RangeAssigner, ReleaseOutcome, StoreOutcome, TargetProcess,
+    AssignerSettings, AssignmentTable, Authority, Command, EpochBlock, GrantOutcome, KeyRange,
+    Member, RangeAssigner, ReleaseOutcome, StoreOutcome, TargetProcess,
 };
 
 /// Duration of one simulation step.
@@ -48,6 +48,8 @@
     TrustsRestoredOwners,
     /// A leader continues after a restore under the fencing tokens of the former era.
     IgnoresEras,
+    /// A leader counts fencing tokens from the owners that it knows, without a reservation.
+    IgnoresReservations,
 }
 
 /// Constructor of an assigner that continues from a stored table.
@@ -110,8 +112,11 @@
     leader_row_era: StoreEra,
     copy: Option<StoreCopy>,
     /// The newest table that was stored. Running processes follow the table and keep it when the
-    /// store goes back.
+    /// store goes back, until all of them restart.
     newest_table: Option<AssignmentTable>,
+    /// The last fencing token reserved in each era. Late writes of former eras do not change the
+    /// rows of later ones.
+    reserved_epochs: SortedVec<StoreEra, Epoch>,
     pending_calls: Vec<PendingCall>,
     store_down_until: Instant,
     /// Last known ownership of each key.
@@ -150,6 +155,7 @@
             leader_row_era: StoreEra::default(),
             copy: None,
             newest_table: None,
+            reserved_epochs: SortedVec::new(),
             pending_calls: Vec::new(),
             store_down_until: Instant::default(),
             last_ownership: vec![None; CHECKED_KEYS.len()],
@@ -178,10 +184,40 @@
                 (self.table, self.version) = (copy.table, copy.version);
                 self.era = self.era.next();
             }
+            23..26 => self.restart_all_leaders(),
             _ => {}
         }
     }
 
+    /// Restarts all processes that may lead. What they remembered of the owners is lost.
+    fn restart_all_leaders(&mut self) {
+        let now = self.now;
+        for leader in &mut self.leaders {
+            leader.assigner = None;
+            leader.authority.until = leader.authority.until.min(now);
+        }
+        self.newest_table = None;
+    }
+
+    /// Reserves the next fencing tokens of the present era. At times the answer of the store is
+    /// lost, and the leader reserves once more.
+    fn reserve_epochs(&mut self, used: Epoch) -> EpochBlock {
+        let era = self.era;
+        let answer_lost = self.random.random_bool(0.1);
+        let next = |reserved: Option<&Epoch>| {
+            EpochBlock::next(era, reserved.copied(), used).expect("an era has many blocks")
+        };
+        if self.injected_bug == InjectedBug::IgnoresReservations {
+            return next(None);
+        }
+        let mut block = next(self.reserved_epochs.get(&era));
+        if answer_lost {
+            block = next(Some(&block.end()));
+        }
+        self.reserved_epochs.insert(era, block.end());
+        block
+    }
+
     /// Runs the simulation for `span`. No faults occur in the recovery period at its end.
     pub(crate) fn run(&mut self, span: Duration, recovery: Duration) {
         let end = self.now + span;
@@ -327,6 +363,7 @@
         }
         (self.leader_row, self.leader_row_era) = (index, era);
         let injected_bug = self.injected_bug;
+        let block = self.reserve_epochs(Epoch::default());
         let leader = &mut self.leaders[index];
         let sole_from = leader.authority.sole_from.max(others_until);
         leader.authority = Authority { until: now + LEASE, sole_from };
@@ -334,7 +371,7 @@
         if let Some(assigner) = &mut leader.assigner {
             assigner.set_authority(leader.authority);
             if injected_bug != InjectedBug::IgnoresEras {
-                assigner.enter_era(now, era);
+                assigner.enter_era(now, &block);
             }
         }
     }
@@ -379,14 +416,17 @@
         let stored_era = table.map_or(StoreEra::default(), |table| table.last_epoch().era());
         let is_lost =
             stored_era < self.era && self.injected_bug != InjectedBug::TrustsRestoredOwners;
-        let assigner = match is_lost {
+        let mut assigner = match is_lost {
             true => {
                 let known = self.newest_table.as_ref().or(table);
                 RangeAssigner::after_restore(self.now, self.settings(), authority, known)
             }
             false => start(self.now, self.settings(), authority, table),
         };
-        let assigner = assigner.in_era(self.era);
+        if self.era > StoreEra::default() {
+            let used = self.table.as_ref().map(RangeAssigner::possibly_issued);
+            assigner.use_epochs(&self.reserve_epochs(used.unwrap_or_default()));
+        }
         // The router first rewrites the table, so that writes of a previous leader conflict.
         if self.injected_bug != InjectedBug::SkipsTableRewrite && !is_lost {
             self.version += 1;
@@ -691,6 +731,9 @@
                 if call.era == self.era {
                     self.newest_table = Some(table.clone());
                     self.leaders[leader].version = self.version;
+                } else if self.random.random_bool(0.5) {
+                    // Otherwise the leader soon stores its owners again, and none would be lost.
+                    self.restart_all_leaders();
                 }
                 StoreOutcome::Stored
             }
--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -6,7 +6,7 @@
 
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use wagtailmoor_core::{BackEndId, Generation, Instant, RowVersion, StoreEra};
+use wagtailmoor_core::{BackEndId, Epoch, Generation, Instant, RowVersion, StoreEra};
 use wagtailmoor_ranges::{
     AssignerSettings, AssignmentTable, Command, GrantOutcome, Member, RangeAssigner,
     ReleaseOutcome, StoreOutcome, TargetProcess,
@@ -15,6 +15,7 @@
 use wagtailmoor_telemetry::Event;
 
 use crate::admission_control;
+use crate::epoch_reservation;
 use crate::feeds::RANGES_TABLE;
 use crate::granter::{Granter, GranterId};
 use crate::leader_loop::write_id;
@@ -48,7 +49,7 @@
                 Some(era) if era < term.era() => {
                     enter_era(&shared, &*table, &back_end, term.era()).await;
                 }
-                Some(_) => {}
+                Some(era) => extend_epochs(&shared, &*table, &back_end, era).await,
             }
             let Some((granter, commands)) = tick(&shared, &back_end) else { continue };
             for command in commands {
@@ -113,6 +114,10 @@
             ConfirmedOutcome::Unknown => return,
         },
     };
+    let used = stored.as_ref().map(RangeAssigner::possibly_issued).unwrap_or_default();
+    let Ok(block) = epoch_reservation::reserve(shared, table, back_end, era, used).await else {
+        return;
+    };
     let now = shared.now();
     let mut state = shared.write();
     state.observe_era(now, table.era());
@@ -128,12 +133,14 @@
     let settings = AssignerSettings::default();
     let has_started = state.granters.has_started(back_end, term);
     let known = state.tables.get(back_end).or(stored.as_ref());
-    let assigner = match has_started {
+    let mut assigner = match has_started {
         _ if is_lost => RangeAssigner::after_restore(now, settings, authority, known),
         true => RangeAssigner::new(now, settings, authority, stored.as_ref()),
         false => RangeAssigner::first_under(now, settings, authority, stored.as_ref()),
     };
-    let assigner = assigner.in_era(era);
+    if let Some(block) = &block {
+        assigner.use_epochs(block);
+    }
     state.granters.start(back_end.clone(), term, assigner, version);
     if let Some(table) = stored.filter(|_| !is_lost) {
         state.tables.insert(back_end.clone(), table);
@@ -143,6 +150,7 @@
         .field("row_version", version)
         .field("sole_in_ms", authority.sole_from.saturating_since(now).as_millis())
         .field("owners_lost", is_lost)
+        .optional("epochs_after", block.map(|block| block.after()))
         .info();
 }
 
@@ -163,6 +171,11 @@
             return;
         }
     };
+    let used = Epoch::default();
+    let Ok(Some(block)) = epoch_reservation::reserve(shared, table, back_end, era, used).await
+    else {
+        return;
+    };
     let now = shared.now();
     let mut state = shared.write();
     state.observe_era(now, table.era());
@@ -178,14 +191,29 @@
     granter.row_version = row.map_or(RowVersion::default(), |row| row.version);
     granter.era = era;
     granter.assigner.set_authority(authority);
-    granter.assigner.enter_era(now, era);
+    granter.assigner.enter_era(now, &block);
     Event::new("granter-continued")
         .field("back_end", back_end)
         .field("era", era)
         .field("row_version", granter.row_version)
+        .field("epochs_after", block.after())
         .info();
 }
 
+/// Reserves further fencing tokens if few of the present ones are left.
+async fn extend_epochs<T: Table>(shared: &Shared, table: &T, back_end: &BackEndId, era: StoreEra) {
+    let granter = match shared.read().granters.get(back_end) {
+        Some(granter) if granter.assigner.needs_epochs() => granter.id,
+        _ => return,
+    };
+    let used = Epoch::default();
+    if let Ok(Some(block)) = epoch_reservation::reserve(shared, table, back_end, era, used).await
+        && let Some(granter) = shared.write().granters.get_by_id(back_end, granter)
+    {
+        granter.assigner.use_epochs(&block);
+    }
+}
+
 /// Returns whether a row with owners was written in an era. A row of a former era was written before
 /// the store was restored, or by a write that arrived after it.
 fn is_of_era(row: &Row, era: StoreEra) -> bool {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission_control;
 mod boot_clock;
 mod change_source;
+mod epoch_reservation;
 mod feeds;
 mod gateway;
 mod grant_loop;
