Wait for own grants before a merged range gets a new owner after a restore

Cause: when a leader enters a new era of the store, a range that is being stored becomes free as soon as the grants of other leaders have expired. A merged range is in that state too, but its owner has grants that this leader renewed, so another target could get the keys beside it.

Change: the range is free when the last grant for it expires.

--- a/crates/ranges/src/range_list.rs
+++ b/crates/ranges/src/range_list.rs
@@ -101,10 +101,11 @@
                     *free_from = (*free_from).max(others_expire)
                 }
                 // Another leader may have granted the range to its previous owner again, by a table
-                // without this assignment, which the restore lost.
+                // without this assignment, which the restore lost. The owner of a merged range has
+                // grants of this process besides.
                 RangeState::Storing if now < others_expire => {
                     let to = entry.owner.take();
-                    entry.state = RangeState::Vacant { free_from: others_expire, to };
+                    entry.state = RangeState::Vacant { free_from: entry.expires, to };
                 }
                 RangeState::Storing => {}
             }
