--- a/crates/ranges/tests/epochs.rs
+++ b/crates/ranges/tests/epochs.rs
@@ -29,7 +29,7 @@
     let mut now = start;
     while now < start + span {
         now = now + Duration::from_millis(50);
-        let first_leaves = now.as_us() / 1_000_000 % 2 == 0;
+        let first_leaves = (now.as_us() / 1_000_000).is_multiple_of(2);
         assigner.set_members(now, vec![member("t1", !first_leaves), member("t2", first_leaves)]);
         let commands = assigner.tick(now);
         used.extend(tokens(&commands));
