Limit customers by tokens that are at one place at a time

Change: a customer has as many tokens as it may send requests in a window. A token is at a node or with the issuer, and can be used again when the window has passed since its request was sent. An issuer grants only what no node can have; a new one grants what nodes return to it until it knows of all tokens. Nodes keep what they have while no issuer answers. A request without a token asks the issuer if the customer is well within its limit.

The existing tests of limits hold with the same bounds; they call the new interface.

--- a/crates/admission/tests/limits.rs
+++ b/crates/admission/tests/limits.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use wagtailmoor_admission::{CustomerLimits, LimitIssuer, LimitSettings, ReportTiming};
-use wagtailmoor_core::{Instant, NodeId, Requests, RequestsPerSecond};
+use wagtailmoor_core::{Generation, Incarnation, Instant, NodeId, Requests, RequestsPerSecond};
 use wagtailmoor_site::CustomerRule;
 
 const STEP: Duration = Duration::from_millis(10);
@@ -19,6 +19,7 @@
     names: Vec<NodeId>,
     nodes: Vec<CustomerLimits>,
     issuer: LimitIssuer,
+    process: Incarnation,
     rule: CustomerRule,
     report_steps: u32,
     steps: u32,
@@ -30,11 +31,13 @@
     fn new(count: usize, rate: u32, burst: u32, report: Duration) -> Self {
         let settings = LimitSettings::default();
         let report_steps = u32::try_from(report.as_millis() / STEP.as_millis()).unwrap();
+        let now = Instant::from_us(1_000_000);
         Self {
-            now: Instant::from_us(1_000_000),
+            now,
             names: (0..count).map(|number| format!("node-{number}").parse().unwrap()).collect(),
-            nodes: (0..count).map(|_| CustomerLimits::new(settings)).collect(),
+            nodes: (0..count).map(|_| CustomerLimits::new(now, settings)).collect(),
             issuer: LimitIssuer::new(settings),
+            process: Incarnation::new(1),
             rule: CustomerRule {
                 customer: "hotel".parse().unwrap(),
                 priority: None,
@@ -78,7 +81,10 @@
 
     fn request(&mut self, node: usize) {
         match self.nodes[node].admit(self.now, &self.rule) {
-            Ok(()) => self.admitted.push((self.now, 1)),
+            Ok(()) => {
+                self.nodes[node].record_sent(self.now, &self.rule.customer);
+                self.admitted.push((self.now, 1));
+            }
             Err(_) => self.refused += 1,
         }
     }
@@ -89,17 +95,16 @@
             if !(self.steps + offset).is_multiple_of(self.report_steps) {
                 continue;
             }
-            let used = self.nodes[node].take_usage();
+            let name = self.names[node].clone();
+            let report = self.nodes[node].take_report(self.now, name, self.process);
             if partitioned.contains(&node) {
-                self.nodes[node].restore_usage(used);
+                self.nodes[node].restore_counts(report.customers);
                 continue;
             }
-            self.issuer.refill(self.now, [&self.rule].into_iter());
-            self.issuer.record_usage(self.now, &self.names[node], &used);
-            let rules = [&self.rule].into_iter();
-            let allowances = self.issuer.allowances(self.now, &self.names[node], rules);
+            let allowances = self.issuer.answer(self.now, &report, |_| Some(&self.rule));
             let count = self.issuer.nodes(self.now);
-            self.nodes[node].apply_reply(self.now, allowances, count);
+            let settled = self.issuer.is_settled(self.now);
+            self.nodes[node].apply_reply(self.now, allowances, count, settled);
         }
     }
 
@@ -108,9 +113,10 @@
         let stored = self.issuer.nodes(self.now);
         let settings = LimitSettings::default();
         self.issuer = LimitIssuer::new(settings);
-        self.issuer.start_term(self.now, stored);
+        self.issuer.start_term(self.now, Generation::new(2), self.now, stored);
+        self.process = Incarnation::new(self.process.get() + 1);
         for node in &mut self.nodes {
-            *node = CustomerLimits::new(settings);
+            *node = CustomerLimits::new(self.now, settings);
             node.assume_nodes(self.now, stored);
         }
     }
