Count tokens of a restarted process for a window if it was without replies

Cause: the tokens of a process that ended counted until the requests in its last report had left the window. A process without replies uses them again and again, so later requests could be among them. Found by schedule, one of 20,000: 495 of 468 requests in a window.

Change: if the last report is older than the lifetime of a reply, all tokens of the process count for a window from the first report of the next one.

--- a/crates/admission/src/limit_issuer.rs
+++ b/crates/admission/src/limit_issuer.rs
@@ -303,8 +303,11 @@
             std::cmp::Ordering::Equal => {}
             std::cmp::Ordering::Greater => {
                 let until = now + self.settings.window;
-                let stated_until =
-                    reporter.last_report + LAST_REQUESTS_MARGIN + self.settings.window;
+                // A process without replies uses its tokens again and again.
+                let stated_until = match now < reporter.last_report + ReportTiming::REPLY_LIFETIME {
+                    true => reporter.last_report + LAST_REQUESTS_MARGIN + self.settings.window,
+                    false => until,
+                };
                 let accounts = self.accounts.values_mut();
                 accounts.for_each(|account| account.retire(&report.node, stated_until, until));
             }
