Promise "not run" by the outcome of a request, not by its reason

Cause: the status of a refusal followed from the reason alone, and a client may stall before or after bytes of its body were forwarded.

Change: only the outcome "not run" gets a status that promises it. A client that stalls within a forwarded body gets 504 after 5 s without a byte, as before with 408.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -269,7 +269,10 @@
         record_calls::execute_and_wake(&self.entry, outputs);
         let status = match (verdict.status, verdict.reason) {
             (Some(status), _) => status,
-            (None, Some(reason)) => Refusal::not_run(reason, "").status().as_u16(),
+            (None, Some(reason)) => {
+                let refusal = Refusal::not_run(reason, "");
+                Refusal { outcome: verdict.outcome, ..refusal }.status().as_u16()
+            }
             (None, None) => 0,
         };
         self.record_request(call, verdict.outcome, verdict.reason, status);
--- a/crates/front/src/refusal.rs
+++ b/crates/front/src/refusal.rs
@@ -54,8 +54,26 @@
         Self { retry_after: Some(retry_after), ..self }
     }
 
-    /// Returns the HTTP status for the reason.
+    /// Returns the HTTP status for the reason and outcome. Clients repeat a request after a status
+    /// that promises that it has not run, so only the outcome "not run" gets such a status.
     pub fn status(&self) -> StatusCode {
+        match self.outcome {
+            Outcome::NotRun => self.not_run_status(),
+            Outcome::Unknown | Outcome::Answered => self.unpromising_status(),
+        }
+    }
+
+    /// Returns the status of a request that may have run, which promises nothing.
+    fn unpromising_status(&self) -> StatusCode {
+        match self.reason {
+            Reason::Duplicate => StatusCode::CONFLICT,
+            Reason::CrashesTargets => StatusCode::UNPROCESSABLE_ENTITY,
+            Reason::DeadlineExceeded | Reason::ClientTooSlow => StatusCode::GATEWAY_TIMEOUT,
+            _ => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    fn not_run_status(&self) -> StatusCode {
         match self.reason {
             Reason::BadRequest | Reason::IdempotencyKeyRequired => StatusCode::BAD_REQUEST,
             Reason::KeyMissing | Reason::KeyRefused => StatusCode::UNAUTHORIZED,
