State tokens only where they change, and grant small customers on demand

Change: a report names customers with requests, and the others once in 600 ms; a reply names those whose tokens change. A customer with too few tokens for a base at each node gets them where its requests wait. Reserves take half of what is not in use.

--- a/crates/admission/src/customer_limits.rs
+++ b/crates/admission/src/customer_limits.rs
@@ -12,6 +12,10 @@
 /// A new process waits this long for the first reply of an issuer before it assumes an equal share.
 const FIRST_REPLY_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Tokens that return while no requests arrive are stated once in this time. Until then the issuer
+/// counts them as still here.
+const RESTATE_INTERVAL: Duration = Duration::from_millis(600);
+
 /// A request that exceeds the limit of its customer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LimitExceeded {
@@ -44,6 +48,8 @@
     /// the next report is of no use.
     must_wait: bool,
     last_arrival: Instant,
+    /// Tokens that the last report with this customer stated, and when.
+    stated: (u32, Instant),
     arrived: u32,
     admitted: u32,
 }
@@ -57,6 +63,13 @@
         self.recent.total() + self.returning
     }
 
+    /// Returns whether the next report states this customer.
+    fn must_state(&self, now: Instant) -> bool {
+        let (tokens, stated_at) = self.stated;
+        let is_due = tokens == 0 || self.tokens() == 0 || now >= stated_at + RESTATE_INTERVAL;
+        self.arrived > 0 || (tokens != self.tokens() && is_due)
+    }
+
     /// Returns all tokens of the node.
     fn tokens(&self) -> u32 {
         self.unused() + self.reserve + self.recent()
@@ -119,6 +132,8 @@
     /// uses an equal share, which issuers keep for processes that restart.
     has_joined: bool,
     last_report_answered: bool,
+    /// Whether the issuer has had a full report of this process.
+    is_known: bool,
     /// Zero while it is not known: at the first start of a site, a process does not know how many
     /// others assume a share as well.
     nodes: u32,
@@ -135,6 +150,7 @@
             last_reply: None,
             has_joined: false,
             last_report_answered: false,
+            is_known: false,
             nodes: 0,
             reports: 0,
         }
@@ -150,14 +166,17 @@
 
     /// Applies a reply of the issuer: tokens in addition to those stated in the report, and the
     /// number of nodes, or zero if the issuer may not know it.
-    /// `is_settled` states whether the issuer knows of the tokens of all nodes.
+    /// `is_settled` states whether the issuer knows of the tokens of all nodes, `is_known` whether it
+    /// knows those of this one.
     pub fn apply_reply(
         &mut self,
         now: Instant,
         allowances: Vec<NodeAllowance>,
         nodes: u32,
         is_settled: bool,
+        is_known: bool,
     ) {
+        self.is_known = is_known;
         self.last_reply = Some(now);
         self.last_report_answered = true;
         if nodes > 0 {
@@ -249,6 +268,7 @@
     pub fn take_report(&mut self, now: Instant, node: NodeId, process: Incarnation) -> LimitReport {
         let has_issuer = self.has_issuer(now);
         let window = self.settings.window;
+        let is_full = !self.is_known;
         let mut customers = Vec::new();
         for (customer, account) in self.accounts.iter_mut() {
             if has_issuer && self.has_joined {
@@ -256,8 +276,11 @@
                 // Kept once a report has failed: its issuer may have gone.
                 account.returning += if self.last_report_answered { 0 } else { usable_again };
             }
-            account.stated_returning = account.returning;
-            if account.arrived > 0 || account.tokens() > 0 {
+            if is_full || account.must_state(now) {
+                account.stated_returning = account.returning;
+                account.stated = (account.tokens(), now);
+                // The reply names the customers that are near their limits.
+                account.must_wait = false;
                 customers.push(CustomerUsage {
                     customer: customer.clone(),
                     arrived: std::mem::take(&mut account.arrived),
@@ -270,6 +293,7 @@
         }
         self.accounts.retain(|_, account| {
             account.tokens() > 0
+                || account.stated.0 > 0
                 || account.unaided.is_some()
                 || now.saturating_since(account.last_arrival) < window
         });
@@ -280,13 +304,16 @@
             incarnation: process,
             sequence: self.reports,
             has_issuer: self.has_joined,
+            is_full,
             customers,
             former: None,
         }
     }
 
-    /// Adds counts of requests that could not be reported to an issuer to the next report.
+    /// Adds counts of requests that could not be reported to an issuer to the next report, which is
+    /// full.
     pub fn restore_counts(&mut self, unreported: Vec<CustomerUsage>) {
+        self.is_known = false;
         for CustomerUsage { customer, arrived, admitted, .. } in unreported {
             if let Some(account) = self.accounts.get_mut(&customer) {
                 account.arrived += arrived;
--- a/crates/admission/src/limit_issuer.rs
+++ b/crates/admission/src/limit_issuer.rs
@@ -52,9 +52,13 @@
 /// a window. A node then gets one at least.
 const SCARCE_PART: f64 = 0.25;
 
+/// Requests without a token for which a node gets tokens at once, while its customer is well within its
+/// limit.
+const WAITING_MAX: u32 = 8;
+
 /// Part of the tokens that are not in use that nodes have as their reserve. A new issuer knows at first
 /// only of tokens that nodes have; the rest is for nodes with more demand than before.
-const RESERVED_PART: f64 = 0.8;
+const RESERVED_PART: f64 = 0.5;
 
 #[derive(Debug)]
 struct Reporter {
@@ -264,7 +268,8 @@
         for (customer, account) in self.accounts.iter_mut() {
             account.expire(now);
             let is_listed = |used: &CustomerUsage| used.customer == *customer;
-            if account.has_tokens_at(&report.node) && !report.customers.iter().any(is_listed) {
+            let is_unlisted = || !report.customers.iter().any(is_listed);
+            if report.is_full && account.has_tokens_at(&report.node) && is_unlisted() {
                 account.record(&report.node, 0, 0, 0, false);
             }
         }
@@ -272,13 +277,19 @@
         let rules = report.customers.iter().filter_map(|used| Some((used, rule(&used.customer)?)));
         rules
             .filter(|(_, rule)| rule.is_limited())
-            .map(|(used, rule)| {
+            .filter_map(|(used, rule)| {
                 self.record_usage(now, &report.node, used, rule, is_first);
-                self.grant(now, &report.node, used, rule)
+                let allowance = self.grant(now, &report.node, used, rule);
+                (!allowance.is_needless(used)).then_some(allowance)
             })
             .collect()
     }
 
+    /// Returns whether this issuer has had a full report of a process.
+    pub fn is_known(&self, node: &NodeId, process: Incarnation) -> bool {
+        self.reporters.get(node).is_some_and(|reporter| reporter.incarnation == process)
+    }
+
     /// Returns whether a node has reported recently enough to count as a node of the site.
     pub fn is_live(&self, now: Instant, node: &NodeId) -> bool {
         self.reporters.get(node).is_some_and(|reporter| is_live(reporter, now))
@@ -287,7 +298,12 @@
     /// Records the report itself. Returns whether it is the first one of this term that states tokens
     /// of an earlier issuer; `None` if a later report of the process was handled before.
     fn record_reporter(&mut self, now: Instant, report: &LimitReport) -> Option<bool> {
-        let is_first = !self.reporters.contains_key(&report.node);
+        let known = self.reporters.get(&report.node);
+        let is_first = known.is_none();
+        let is_same = known.is_some_and(|known| known.incarnation == report.incarnation);
+        if !is_same && !report.is_full {
+            return None;
+        }
         let reporter = self.reporters.get_or_insert_with(report.node.clone(), || Reporter {
             incarnation: report.incarnation,
             sequence: 0,
@@ -397,6 +413,7 @@
     ) -> NodeAllowance {
         let customer = used.customer.clone();
         let free = self.free_tokens(now, rule);
+        let base = self.settings.base(rule, self.nodes(now));
         let share = self.share(now, node, &customer);
         let (_, burst) = self.settings.limit(rule);
         let Some(account) = self.accounts.get_mut(&customer) else {
@@ -418,8 +435,16 @@
                 (ungranted.min(by_level) as u32, kept)
             }
             false => {
-                let unused_min = if spare < all_tokens * SCARCE_PART { 1 } else { UNUSED_MIN };
-                let wanted = ((share * burst) as u32).max(unused_min);
+                let unused_min = match spare < all_tokens * SCARCE_PART {
+                    // Most nodes have requests of a small customer now and then. Tokens that wait
+                    // there would be missing where requests arrive.
+                    _ if base == 0 => 0,
+                    true => 1,
+                    false => UNUSED_MIN,
+                };
+                let waiting = used.arrived.saturating_sub(used.admitted);
+                let by_demand = (share * burst) as u32;
+                let wanted = by_demand.max(unused_min).max(waiting.min(WAITING_MAX));
                 (wanted.saturating_sub(unused), wanted)
             }
         };
@@ -428,8 +453,17 @@
         let tokens = (missing - from_reserve).min(free);
         // The rest goes to the nodes too, for the time in which no issuer answers.
         let reservable = u64::from(free) + account.reserve();
-        let reserve_max = (share * reservable as f64 * RESERVED_PART) as u32;
-        let reserved = reserve_max.saturating_sub(used.reserve - from_reserve).min(free - tokens);
+        let reserve_max = match base {
+            // A small customer's are all needed where its requests arrive.
+            0 => 0,
+            _ => (share * reservable as f64 * RESERVED_PART) as u32,
+        };
+        let reserve = used.reserve - from_reserve;
+        // Small changes of the demand do not move the reserves.
+        let is_low = reserve < reserve_max / 4 * 3 || reserve_max < 4;
+        let reserved =
+            if is_low { reserve_max.saturating_sub(reserve).min(free - tokens) } else { 0 };
+        let reserve_max = reserve_max.saturating_add(reserve_max / 4);
         account.grant(node, from_reserve + tokens, reserved);
         let level = account.level as i32;
         NodeAllowance {
--- a/crates/admission/src/node_allowance.rs
+++ b/crates/admission/src/node_allowance.rs
@@ -25,6 +25,15 @@
     pub level: i32,
 }
 
+impl NodeAllowance {
+    /// Returns whether the node, which stated its tokens, does the same without this allowance.
+    pub(crate) fn is_needless(&self, stated: &CustomerUsage) -> bool {
+        let grants = self.tokens > 0 || self.from_reserve > 0 || self.reserved > 0;
+        let returns = stated.unused > self.unused_max || stated.reserve > self.reserve_max;
+        !grants && !returns && self.may_ask
+    }
+}
+
 /// Tokens and requests of a customer at one node.
 #[value]
 pub struct CustomerUsage {
@@ -63,7 +72,7 @@
     pub accounts: Vec<FormerAccount>,
 }
 
-/// The customers' tokens at one node. The node has no tokens of customers that are not listed.
+/// The customers' tokens at one node, as far as they changed by requests or much time has passed.
 #[value]
 pub struct LimitReport {
     /// The reporting node.
@@ -74,6 +83,9 @@
     pub sequence: u64,
     /// Whether an issuer has replied to the process.
     pub has_issuer: bool,
+    /// Whether the node has no tokens of customers that are not listed. Otherwise it has at most those
+    /// that it stated last and was granted since.
+    pub is_full: bool,
     /// Tokens and requests by customer.
     pub customers: Vec<CustomerUsage>,
     /// Accounts of the last term of this process as issuer, if no issuer has replied since.
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -74,6 +74,8 @@
     pub(crate) allowances: Vec<NodeAllowance>,
     /// Whether the leader knows of the customers' tokens at all nodes.
     pub(crate) limits_settled: bool,
+    /// Whether the leader has had a full report of the caller's tokens.
+    pub(crate) limits_known: bool,
     /// Admitted shares of back ends that get more requests than can be run in time.
     pub(crate) shares: Vec<AdmittedShares>,
     /// Requests that crash targets and that the caller does not know yet.
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -133,7 +133,8 @@
         state.issuer.clear();
     }
     let (nodes, settled) = (reply.site_nodes, reply.limits_settled);
-    state.customers.apply_reply(now, reply.allowances, nodes, settled);
+    let known = reply.limits_known;
+    state.customers.apply_reply(now, reply.allowances, nodes, settled, known);
     state.admission_gate.replace(now, reply.shares);
     rollouts::apply(&mut state, now, reply.rollouts);
     let RouterState { room, random, .. } = &mut *state;
@@ -161,6 +162,7 @@
         site_nodes: 0,
         allowances: Vec::new(),
         limits_settled: false,
+        limits_known: false,
         shares: Vec::new(),
         suspects: state.ledger.refused_since(now, report.ledger_version),
         rollouts: Vec::new(),
@@ -201,6 +203,7 @@
         reply.shares = state.admission.shares(now);
         reply.site_nodes = state.issuer.stored_nodes(now);
         reply.limits_settled = state.issuer.is_settled(now);
+        reply.limits_known = state.issuer.is_known(&node, report.limits.incarnation);
         reply.rollouts = rollouts::answer(state, now, &node, &report.rollouts);
         update_node_list(state, now);
         reply.nodes_version = state.reporters_version;
