Split the grant of tokens, and cap their number

Cause: grant() had grown to sixty lines with four jobs, and a customer with a rate of thousands of millions made sums of tokens overflow.

Change: what a node misses near the limit, and what goes to its reserve, are functions of their own; a customer has 2^28 tokens at most.

--- a/crates/admission/src/customer_limits.rs
+++ b/crates/admission/src/customer_limits.rs
@@ -35,8 +35,8 @@
     taken: u32,
     /// Tokens of requests that were sent within the window.
     recent: WindowCount,
-    /// Tokens that can be used again while reports fail. They return to the issuer when it has answered
-    /// a report that states them; if none does, the node keeps them.
+    /// Tokens that can be used again, while reports fail. They return to the issuer with the next report
+    /// that it answers; until then the node keeps them.
     returning: u32,
     /// Those of them that the last report stated.
     stated_returning: u32,
@@ -101,7 +101,7 @@
 
     fn apply(&mut self, allowance: &NodeAllowance) {
         let from_reserve = allowance.from_reserve.min(self.reserve);
-        let tokens = allowance.tokens + from_reserve;
+        let tokens = allowance.tokens.saturating_add(from_reserve);
         self.available = self.available.saturating_add(tokens).min(allowance.unused_max);
         let reserve = (self.reserve - from_reserve).saturating_add(allowance.reserved);
         self.reserve = reserve.min(allowance.reserve_max);
@@ -119,9 +119,9 @@
 /// and however many issuers there have been.
 ///
 /// Each node has a few tokens without a grant, and further ones by grants of the issuer. With an
-/// issuer, tokens that can be used again return to it. Without one, the node keeps them:
-/// for the time of the lease all of them, and then an equal share. A process that never had an
-/// issuer gets an equal share at the customer's rate.
+/// issuer, tokens that can be used again return to it. Without one, the node keeps them: all for the
+/// time of the lease, and then an equal share. A process that never had an issuer uses an equal share
+/// at the customer's rate.
 #[derive(Debug)]
 pub struct CustomerLimits {
     settings: LimitSettings,
@@ -165,8 +165,7 @@
     }
 
     /// Applies a reply of the issuer: tokens in addition to those stated in the report, and the
-    /// number of nodes, or zero if the issuer may not know it.
-    /// `is_settled` states whether the issuer knows of the tokens of all nodes, `is_known` whether it
+    /// number of nodes, or zero if the issuer may not know it. `is_settled` states whether the issuer knows of the tokens of all nodes, `is_known` whether it
     /// knows those of this one.
     pub fn apply_reply(
         &mut self,
--- a/crates/admission/src/limit_issuer.rs
+++ b/crates/admission/src/limit_issuer.rs
@@ -40,10 +40,6 @@
 /// requests at a node are admitted.
 const EQUAL_PART_PERCENT: u32 = 20;
 
-/// Level of an account below which tokens are granted only as fast as the level allows, in percent
-/// of the burst.
-const NEAR_LIMIT_PERCENT: f64 = 60.0;
-
 /// Tokens that a node with demand gets at least while its customer is well within its limit. The
 /// second one covers the time until the node's next report.
 const UNUSED_MIN: u32 = 2;
@@ -411,70 +407,48 @@
         used: &CustomerUsage,
         rule: &CustomerRule,
     ) -> NodeAllowance {
-        let customer = used.customer.clone();
-        let free = self.free_tokens(now, rule);
-        let base = self.settings.base(rule, self.nodes(now));
-        let share = self.share(now, node, &customer);
-        let (_, burst) = self.settings.limit(rule);
-        let Some(account) = self.accounts.get_mut(&customer) else {
-            unreachable!("the account of a reported customer exists");
-        };
-        let unused = account.unused_at(node);
-        let ungranted = account.level - account.unused() as f64;
-        let all_tokens = f64::from(self.settings.tokens(rule));
-        let demand_per_s = self.total_demand.get(&customer).copied().unwrap_or_default();
-        let in_window = demand_per_s * self.settings.window.as_secs_f64();
-        let spare = all_tokens - in_window - account.unused() as f64;
-        let is_near = account.level < burst * NEAR_LIMIT_PERCENT / 100.0;
-        let (missing, unused_max) = match is_near {
-            // The conversions saturate, so that a negative level grants nothing.
-            true => {
-                let by_level = (share * account.level).ceil();
-                // Tokens are short, so that a node without requests returns its own.
-                let kept = if used.arrived > 0 { by_level as u32 + 1 } else { 0 };
-                (ungranted.min(by_level) as u32, kept)
-            }
+        let free = u32::try_from(self.free_tokens(now, rule)).unwrap_or(u32::MAX);
+        let has_base = self.settings.base(rule, self.nodes(now)) > 0;
+        let share = self.share(now, node, &rule.customer);
+        let demand_per_s = self.total_demand.get(&rule.customer).copied().unwrap_or_default();
+        let settings = self.settings;
+        let account = self.account(now, rule);
+        let (missing, unused_max) = match settings.is_near_limit(rule, account.level) {
+            true => missing_near_limit(account, share, used.arrived > 0),
             false => {
-                let unused_min = match spare < all_tokens * SCARCE_PART {
+                let burst = share * settings.limit(rule).1;
+                let tokens = f64::from(settings.tokens(rule));
+                let in_window = demand_per_s * settings.window.as_secs_f64();
+                let spare = tokens - in_window - account.unused() as f64;
+                let unused_min = match spare < tokens * SCARCE_PART {
                     // Most nodes have requests of a small customer now and then. Tokens that wait
                     // there would be missing where requests arrive.
-                    _ if base == 0 => 0,
+                    _ if !has_base => 0,
                     true => 1,
                     false => UNUSED_MIN,
                 };
-                let waiting = used.arrived.saturating_sub(used.admitted);
-                let by_demand = (share * burst) as u32;
-                let wanted = by_demand.max(unused_min).max(waiting.min(WAITING_MAX));
-                (wanted.saturating_sub(unused), wanted)
+                let waiting = used.arrived.saturating_sub(used.admitted).min(WAITING_MAX);
+                let wanted = (burst as u32).max(unused_min).max(waiting);
+                (wanted.saturating_sub(account.unused_at(node)), wanted)
             }
         };
-        let free = u32::try_from(free).unwrap_or(u32::MAX);
         let from_reserve = missing.min(used.reserve);
         let tokens = (missing - from_reserve).min(free);
-        // The rest goes to the nodes too, for the time in which no issuer answers.
-        let reservable = u64::from(free) + account.reserve();
-        let reserve_max = match base {
+        let (reserved, reserve_max) = match has_base {
+            true => reserve(account, share, used.reserve - from_reserve, free, free - tokens),
             // A small customer's are all needed where its requests arrive.
-            0 => 0,
-            _ => (share * reservable as f64 * RESERVED_PART) as u32,
+            false => (0, 0),
         };
-        let reserve = used.reserve - from_reserve;
-        // Small changes of the demand do not move the reserves.
-        let is_low = reserve < reserve_max / 4 * 3 || reserve_max < 4;
-        let reserved =
-            if is_low { reserve_max.saturating_sub(reserve).min(free - tokens) } else { 0 };
-        let reserve_max = reserve_max.saturating_add(reserve_max / 4);
-        account.grant(node, from_reserve + tokens, reserved);
-        let level = account.level as i32;
+        account.grant(node, from_reserve.saturating_add(tokens), reserved);
         NodeAllowance {
-            customer,
+            customer: rule.customer.clone(),
             tokens,
             from_reserve,
             reserved,
             unused_max,
             reserve_max,
             may_ask: account.level >= 1.0,
-            level,
+            level: account.level as i32,
         }
     }
 
@@ -520,6 +494,34 @@
     }
 }
 
+/// Returns the tokens that a node misses while its customer is near its limit, and those that it keeps
+/// at most. Tokens are short then, so that a node without requests returns its own.
+fn missing_near_limit(account: &LimitAccount, share: f64, has_requests: bool) -> (u32, u32) {
+    let ungranted = account.level - account.unused() as f64;
+    let by_level = (share * account.level).ceil();
+    // The conversions saturate, so that a negative level grants nothing.
+    let kept = if has_requests { (by_level as u32).saturating_add(1) } else { 0 };
+    (ungranted.min(by_level) as u32, kept)
+}
+
+/// Returns the tokens that go to the reserve of a node, which has `reserve` there, and those that it
+/// keeps at most. The reserves of all nodes have part of what is not in use, for the time in which no
+/// issuer answers. `available` tokens can be granted.
+fn reserve(
+    account: &LimitAccount,
+    share: f64,
+    reserve: u32,
+    free: u32,
+    available: u32,
+) -> (u32, u32) {
+    let reservable = u64::from(free) + account.reserve();
+    let wanted = (share * reservable as f64 * RESERVED_PART) as u32;
+    // Small changes of the demand do not move the reserves.
+    let is_low = reserve < wanted / 4 * 3 || wanted < 4;
+    let reserved = if is_low { wanted.saturating_sub(reserve).min(available) } else { 0 };
+    (reserved, wanted.saturating_add(wanted / 4))
+}
+
 fn is_live(reporter: &Reporter, now: Instant) -> bool {
     now.saturating_since(reporter.last_report) < LIVE_TIMEOUT
 }
--- a/crates/admission/src/limit_settings.rs
+++ b/crates/admission/src/limit_settings.rs
@@ -13,6 +13,14 @@
 /// the first requests of a customer while no issuer answers.
 const BASE_DIVISOR: u32 = 4;
 
+/// Largest number of tokens of a customer; ten times the requests of the largest site in a window.
+/// Sums of a few such numbers do not overflow.
+const TOKENS_MAX: u32 = 1 << 28;
+
+/// Level of an account below which tokens are granted only as fast as the level allows, in percent
+/// of the burst.
+const NEAR_LIMIT_PERCENT: f64 = 60.0;
+
 /// Precision of limits over all nodes.
 #[derive(Clone, Copy, Debug)]
 pub struct LimitSettings {
@@ -43,11 +51,17 @@
         (f64::from(rule.rate.get()) * overage, burst)
     }
 
+    /// Returns whether a customer whose account has this level is near its limit.
+    pub(crate) fn is_near_limit(&self, rule: &CustomerRule, level: f64) -> bool {
+        let (_, burst) = self.limit(rule);
+        level < burst * NEAR_LIMIT_PERCENT / 100.0
+    }
+
     /// Returns the number of tokens of a customer: the requests that it may send in each window.
     pub(crate) fn tokens(&self, rule: &CustomerRule) -> u32 {
         let by_rate = f64::from(rule.rate.get()) * self.window.as_secs_f64();
         // The conversion saturates.
-        (by_rate as u32).saturating_add(rule.burst.get())
+        (by_rate as u32).saturating_add(rule.burst.get()).min(TOKENS_MAX)
     }
 
     /// Returns the tokens that a node may have without an issuer.
