Take the tokens of customers out, and let shares overlap less

The overlap of shares that the trace showed is mended in the former design instead.

A node whose allowance ends without a new one starts its equal share empty; a new leader divides by the number of nodes that the one before it knew until all have had time to report; it starts accounts with a quarter of the burst in place of a half.

--- a/crates/admission/src/limit_settings.rs
+++ b/crates/admission/src/limit_settings.rs
@@ -1,83 +1,78 @@
 //! Precision of limits over all nodes.
 
-use std::time::Duration;
-
-use wagtailmoor_core::Instant;
 use wagtailmoor_site::CustomerRule;
 
-/// Largest part of a customer's tokens that a node may have without an issuer, as a divisor. On a
-/// site with few nodes the others need the rest.
-const EQUAL_SHARE_DIVISOR_MIN: u32 = 8;
-
-/// Part of a customer's tokens that nodes have without a grant, as a divisor. With it, a node serves
-/// the first requests of a customer while no issuer answers.
-const BASE_DIVISOR: u32 = 4;
-
-/// Largest number of tokens of a customer; ten times the requests of the largest site in a window.
-/// Sums of a few such numbers do not overflow.
-const TOKENS_MAX: u32 = 1 << 28;
-
-/// Level of an account below which tokens are granted only as fast as the level allows, in percent
-/// of the burst.
-const NEAR_LIMIT_PERCENT: f64 = 60.0;
+use crate::ReportTiming;
 
 /// Precision of limits over all nodes.
 #[derive(Clone, Copy, Debug)]
 pub struct LimitSettings {
-    /// Amount by which tokens are issued faster than the customer's rate, in parts per thousand.
-    /// The number of tokens bounds the requests of each window nevertheless.
+    /// Amount by which a customer's rate may be exceeded, in parts per thousand. Covers the delay
+    /// until allowances follow a shift of the demand between nodes.
     pub rate_overage_per_1000: u32,
-    /// Number of requests in addition to a customer's burst for which tokens are issued at once.
+    /// Number of requests by which a customer's burst may be exceeded over all nodes.
     pub burst_slack: u32,
-    /// Window of the limits: in each one, a customer may send its rate times the window and its
-    /// burst.
-    pub window: Duration,
+    /// Number of nodes assumed before it is known.
+    pub nodes_assumed: u32,
+}
+
+/// Rate that a node may admit without an allowance, as a multiple of its equal share. Clients are
+/// spread over nodes unevenly, and all nodes together must not exceed the limit by much.
+const INDEPENDENT_RATE_SHARES: f64 = 2.5;
+
+/// Burst that a node may admit without an allowance, as a multiple of its equal share.
+const INDEPENDENT_BURST_SHARES: f64 = 2.0;
+
+/// Minimum burst of a node for a customer that is well within its limit.
+const INDEPENDENT_BURST_MIN: f64 = 3.0;
+
+/// Minimum burst of a node without a reply from the issuer. With a burst below one request, no
+/// request would ever be admitted.
+const DISCONNECTED_BURST_MIN: f64 = 2.0;
+
+/// Rate and burst that a single node may admit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct LocalLimit {
+    pub(crate) rate_per_s: f64,
+    pub(crate) burst: f64,
 }
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self { rate_overage_per_1000: 40, burst_slack: 10, window: Duration::from_secs(5) }
+        Self { rate_overage_per_1000: 40, burst_slack: 10, nodes_assumed: 16 }
     }
 }
 
 impl LimitSettings {
-    /// Time without a reply of the issuer after which a node keeps no more than an equal share.
-    pub(crate) const LEASE: Duration = Duration::from_secs(5);
-
-    /// Returns the rate per second and the burst at which tokens are issued to all nodes.
+    /// Returns the rate per second and the burst of a customer over all nodes.
     pub(crate) fn limit(&self, rule: &CustomerRule) -> (f64, f64) {
         let overage = 1.0 + f64::from(self.rate_overage_per_1000) / 1_000.0;
         let burst = f64::from(rule.burst.get()) + f64::from(self.burst_slack);
         (f64::from(rule.rate.get()) * overage, burst)
     }
 
-    /// Returns whether a customer whose account has this level is near its limit.
-    pub(crate) fn is_near_limit(&self, rule: &CustomerRule, level: f64) -> bool {
-        let (_, burst) = self.limit(rule);
-        level < burst * NEAR_LIMIT_PERCENT / 100.0
-    }
-
-    /// Returns the number of tokens of a customer: the requests that it may send in each window.
-    pub(crate) fn tokens(&self, rule: &CustomerRule) -> u32 {
-        let by_rate = f64::from(rule.rate.get()) * self.window.as_secs_f64();
-        // The conversion saturates.
-        (by_rate as u32).saturating_add(rule.burst.get()).min(TOKENS_MAX)
-    }
-
-    /// Returns the tokens that a node may have without an issuer.
-    pub(crate) fn equal_share(&self, rule: &CustomerRule, nodes: u32) -> u32 {
-        let divisor = nodes.saturating_add(1).max(EQUAL_SHARE_DIVISOR_MIN);
-        (self.tokens(rule) / divisor).max(1)
+    /// Returns the limit of a node for a customer that is well within its limit.
+    pub(crate) fn independent_limit(&self, rule: &CustomerRule, nodes: f64) -> LocalLimit {
+        let (rate_per_s, burst) = self.limit(rule);
+        LocalLimit {
+            rate_per_s: rate_per_s * (INDEPENDENT_RATE_SHARES / nodes).min(1.0),
+            burst: (burst * (INDEPENDENT_BURST_SHARES / nodes).min(1.0)).max(INDEPENDENT_BURST_MIN),
+        }
     }
 
-    /// Returns the tokens that each node has without a grant.
-    pub(crate) fn base(&self, rule: &CustomerRule, nodes: u32) -> u32 {
-        (self.tokens(rule) / BASE_DIVISOR).checked_div(nodes).unwrap_or_default()
+    /// Returns the limit of a node that gets no replies from the issuer.
+    pub(crate) fn disconnected_limit(&self, rule: &CustomerRule, nodes: f64) -> LocalLimit {
+        let (rate_per_s, _) = self.limit(rule);
+        let rate_per_s = rate_per_s / nodes;
+        LocalLimit { rate_per_s, burst: rate_per_s.max(DISCONNECTED_BURST_MIN) }
     }
 
-    /// Returns when a node without replies since `last_reply` has returned what exceeds its equal
-    /// share, and the requests that it sent before have left the window.
-    pub(crate) fn lapses_at(&self, last_reply: Instant) -> Instant {
-        last_reply + Self::LEASE + self.window
+    /// Returns the maximum number of requests that a node may have admitted since its last report.
+    pub(crate) fn unreported_max(&self, rule: &CustomerRule, nodes: f64) -> f64 {
+        let (independent, disconnected) =
+            (self.independent_limit(rule, nodes), self.disconnected_limit(rule, nodes));
+        independent.burst
+            + independent.rate_per_s * ReportTiming::REPLY_LIFETIME.as_secs_f64()
+            + disconnected.burst
     }
 }
--- a/crates/admission/tests/limits.rs
+++ b/crates/admission/tests/limits.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use wagtailmoor_admission::{CustomerLimits, LimitIssuer, LimitSettings, ReportTiming};
-use wagtailmoor_core::{Generation, Incarnation, Instant, NodeId, Requests, RequestsPerSecond};
+use wagtailmoor_core::{Instant, NodeId, Requests, RequestsPerSecond};
 use wagtailmoor_site::CustomerRule;
 
 const STEP: Duration = Duration::from_millis(10);
@@ -19,7 +19,6 @@
     names: Vec<NodeId>,
     nodes: Vec<CustomerLimits>,
     issuer: LimitIssuer,
-    process: Incarnation,
     rule: CustomerRule,
     report_steps: u32,
     steps: u32,
@@ -31,13 +30,11 @@
     fn new(count: usize, rate: u32, burst: u32, report: Duration) -> Self {
         let settings = LimitSettings::default();
         let report_steps = u32::try_from(report.as_millis() / STEP.as_millis()).unwrap();
-        let now = Instant::from_us(1_000_000);
         Self {
-            now,
+            now: Instant::from_us(1_000_000),
             names: (0..count).map(|number| format!("node-{number}").parse().unwrap()).collect(),
-            nodes: (0..count).map(|_| CustomerLimits::new(now, settings)).collect(),
+            nodes: (0..count).map(|_| CustomerLimits::new(settings)).collect(),
             issuer: LimitIssuer::new(settings),
-            process: Incarnation::new(1),
             rule: CustomerRule {
                 customer: "hotel".parse().unwrap(),
                 priority: None,
@@ -73,25 +70,15 @@
                     }
                     None => true,
                 });
-                self.request(node.unwrap(), partitioned);
+                self.request(node.unwrap());
             }
             self.report(partitioned);
         }
     }
 
-    fn request(&mut self, node: usize, partitioned: &[usize]) {
-        let mut admitted = self.nodes[node].admit(self.now, &self.rule);
-        // A request without a token waits until the issuer was asked.
-        if admitted.is_err_and(|exceeded| exceeded.may_ask) && !partitioned.contains(&node) {
-            self.report_node(node);
-            self.nodes[node].forget_arrival(&self.rule.customer);
-            admitted = self.nodes[node].admit(self.now, &self.rule);
-        }
-        match admitted {
-            Ok(()) => {
-                self.nodes[node].record_sent(self.now, &self.rule.customer);
-                self.admitted.push((self.now, 1));
-            }
+    fn request(&mut self, node: usize) {
+        match self.nodes[node].admit(self.now, &self.rule) {
+            Ok(()) => self.admitted.push((self.now, 1)),
             Err(_) => self.refused += 1,
         }
     }
@@ -102,40 +89,39 @@
             if !(self.steps + offset).is_multiple_of(self.report_steps) {
                 continue;
             }
-            match partitioned.contains(&node) {
-                true => {
-                    let name = self.names[node].clone();
-                    let report = self.nodes[node].take_report(self.now, name, self.process);
-                    self.nodes[node].restore_counts(report.customers);
-                }
-                false => self.report_node(node),
+            let used = self.nodes[node].take_usage();
+            if partitioned.contains(&node) {
+                self.nodes[node].restore_usage(used);
+                continue;
             }
+            self.issuer.refill(self.now, [&self.rule].into_iter());
+            self.issuer.record_usage(self.now, &self.names[node], &used);
+            let rules = [&self.rule].into_iter();
+            let allowances = self.issuer.allowances(self.now, &self.names[node], rules);
+            let count = self.issuer.nodes(self.now);
+            self.nodes[node].apply_reply(self.now, allowances, count);
         }
     }
 
-    fn report_node(&mut self, node: usize) {
-        let name = self.names[node].clone();
-        let report = self.nodes[node].take_report(self.now, name, self.process);
-        let allowances = self.issuer.answer(self.now, &report, |_| Some(&self.rule));
-        let count = self.issuer.nodes(self.now);
-        let settled = self.issuer.is_settled(self.now);
-        let known = self.issuer.is_known(&self.names[node], self.process);
-        self.nodes[node].apply_reply(self.now, allowances, count, settled, known);
-    }
-
     /// Restarts all nodes. The number of nodes is read from the store.
     fn restart_all(&mut self) {
         let stored = self.issuer.nodes(self.now);
         let settings = LimitSettings::default();
         self.issuer = LimitIssuer::new(settings);
-        self.issuer.start_term(self.now, Generation::new(2), self.now, stored);
-        self.process = Incarnation::new(self.process.get() + 1);
+        self.issuer.start_term(self.now, stored);
         for node in &mut self.nodes {
-            *node = CustomerLimits::new(self.now, settings);
+            *node = CustomerLimits::new(settings);
             node.assume_nodes(self.now, stored);
         }
     }
 
+    /// Makes another node the issuer, which knows the number of nodes from the store.
+    fn replace_issuer(&mut self) {
+        let stored = self.issuer.nodes(self.now);
+        self.issuer = LimitIssuer::new(LimitSettings::default());
+        self.issuer.start_term(self.now, stored);
+    }
+
     /// Returns the maximum number of requests admitted within any window.
     fn window_max(&self) -> u32 {
         let sums = self.admitted.iter().enumerate().map(|(index, (start, _))| {
@@ -253,3 +239,30 @@
     let (window_max, allowed) = (site.window_max(), site.allowed());
     assert!(f64::from(window_max) <= allowed, "{window_max} of {allowed} in a window");
 }
+
+// Guards against shares that overlap when the issuer changes while a customer sends five times its
+// usual traffic: what nodes start with when the replies of the old issuer have expired, what the new
+// one has in its accounts at first, and its shares for nodes that report before the others.
+#[rstest]
+#[case::small(12, 83, 83)]
+#[case::large(65, 400, 300)]
+fn a_change_of_the_issuer_stays_within_the_limit(
+    #[case] nodes: usize,
+    #[case] rate: u32,
+    #[case] burst: u32,
+    #[values(300, 1_100, 2_500)] gap_ms: u64,
+    #[values(1, 3)] overload_s: u64,
+) {
+    let mut site = Site::new(nodes, rate, burst, Duration::from_millis(150));
+    let even = vec![1; nodes];
+    let all: Vec<usize> = (0..nodes).collect();
+    let usual_per_s = f64::from(rate) / 1.6;
+    site.send(Duration::from_secs(10), usual_per_s, &even, &[]);
+    site.send(Duration::from_secs(overload_s), usual_per_s * 5.0, &even, &[]);
+    // No node reaches an issuer until another leader is elected.
+    site.send(Duration::from_millis(gap_ms), usual_per_s * 5.0, &even, &all);
+    site.replace_issuer();
+    site.send(Duration::from_secs(6), usual_per_s * 5.0, &even, &[]);
+    let (window_max, allowed) = (site.window_max(), site.allowed());
+    assert!(f64::from(window_max) <= allowed, "{window_max} of {allowed} in a window");
+}
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use tokio::time::timeout;
-use wagtailmoor_admission::{LimitExceeded, LoadSample, RunningGuard, UnansweredGuard};
+use wagtailmoor_admission::{LoadSample, RunningGuard, UnansweredGuard};
 use wagtailmoor_core::{
     BackEndId, CustomerId, Epoch, Instant, KeyHash, Outcome, Priority, Reason, ReportedDuration,
     SlotId, TargetId, TemplateId, Weight,
@@ -45,10 +44,6 @@
 /// time.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// A request without a token waits this long for the issuer. The answer takes a round trip between
-/// zones; a client waits far longer for its response.
-const ISSUER_ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Lower bound of the retry delay sent to a customer that exceeds its limit.
 const RATE_RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 
@@ -233,31 +228,30 @@
     }
 
     async fn admit(&self, call: &Call) -> Result<CreditGuard, Refusal> {
-        let ask_until = self.now() + ISSUER_ANSWER_TIMEOUT;
-        while let Err(exceeded) = self.take_token(call) {
-            let now = self.now();
-            if !exceeded.may_ask || now >= ask_until {
-                let retry_after = exceeded.retry_after.max(RATE_RETRY_AFTER_MIN);
-                let detail = "the customer is above its rate and burst";
-                return Err(
-                    Refusal::not_run(Reason::RateExceeded, detail).with_retry_after(retry_after)
-                );
-            }
-            self.ask_issuer(call, ask_until.saturating_since(now)).await;
+        let now = self.now();
+        let mut state = self.shared.write();
+        let RouterState { config, customers, .. } = &mut *state;
+        let rule = call
+            .customer
+            .as_ref()
+            .zip(config.as_ref())
+            .and_then(|(customer, config)| config.customer(customer));
+        if let Some(rule) = rule {
+            customers.admit(now, rule).map_err(|wait| {
+                Refusal::not_run(Reason::RateExceeded, "the customer is above its rate and burst")
+                    .with_retry_after(wait.max(RATE_RETRY_AFTER_MIN))
+            })?;
         }
+        let admitted = admission_control::admit(&mut state, now, call);
+        drop(state);
         let credit =
             CreditGuard { shared: Rc::clone(&self.shared), customer: call.customer.clone() };
-        let now = self.now();
-        let admitted = admission_control::admit(&mut self.shared.write(), now, call);
         // A request that is not admitted refunds the credit.
         admitted.map(|()| credit)
     }
 
     fn spend(&self, mut credit: CreditGuard) {
-        if let Some(customer) = credit.customer.take() {
-            let now = self.now();
-            self.shared.write().customers.record_sent(now, &customer);
-        }
+        credit.customer = None;
     }
 
     async fn claim_record(&self, _call: &Call) -> Result<(), Refusal> {
@@ -476,31 +470,6 @@
     }
 }
 
-impl<D> RouterGateway<D> {
-    /// Takes a token of the customer of a request.
-    fn take_token(&self, call: &Call) -> Result<(), LimitExceeded> {
-        let now = self.shared.now();
-        let mut state = self.shared.write();
-        let RouterState { config, customers, .. } = &mut *state;
-        let rule = call
-            .customer
-            .as_ref()
-            .zip(config.as_ref())
-            .and_then(|(customer, config)| config.customer(customer));
-        rule.map_or(Ok(()), |rule| customers.admit(now, rule))
-    }
-
-    /// Reports to the issuer at once, and waits until it has replied.
-    async fn ask_issuer(&self, call: &Call, patience: Duration) {
-        let replied = self.shared.limits_replied.notified();
-        self.shared.report_due.notify_one();
-        drop(timeout(patience, replied).await);
-        if let Some(customer) = &call.customer {
-            self.shared.write().customers.forget_arrival(customer);
-        }
-    }
-}
-
 /// Returns the priority of a request: that of its customer, or else that of its route.
 fn effective_priority(
     config: &SiteConfig,
--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -102,7 +102,7 @@
     // Owners of a former era may be older than the grants that were sent.
     let is_lost = match &stored {
         Some(owners) => owners.last_epoch().era() < era,
-        None => era > StoreEra::default() && !is_first_leader(&shared.read(), shared, term),
+        None => era > StoreEra::default() && !is_first_leader(shared, term),
     };
     let version = match &stored {
         _ if is_lost => version,
@@ -156,8 +156,8 @@
 
 /// Returns whether this term is the first one of a site that starts: no row of a leader existed, and
 /// this process knows of no restore of the store. A restore may remove that row too.
-pub(crate) fn is_first_leader(state: &RouterState, shared: &Shared, term: Generation) -> bool {
-    let lease = &state.lease;
+fn is_first_leader(shared: &Shared, term: Generation) -> bool {
+    let lease = &shared.read().lease;
     let is_first = term == Generation::in_era(term.era(), 1) && !lease.has_seen_restore();
     shared.settings.first_start && is_first
 }
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -10,7 +10,6 @@
 use wagtailmoor_store::{ConfirmedOutcome, RowWrite, Table, write_and_confirm};
 use wagtailmoor_telemetry::Event;
 
-use crate::grant_loop;
 use crate::leader_lease::{LeaderRow, LeaseAction};
 use crate::state::Shared;
 
@@ -53,7 +52,7 @@
             let in_contact = now.saturating_since(state.leader_last_contact) < timeout;
             let leader_answers = in_contact && !(candidate && state.lease.is_vacant());
             if state.lease.authority(now).is_some() {
-                let nodes = state.issuer.stored_nodes(now);
+                let nodes = state.issuer.nodes(now);
                 state.lease.set_nodes(nodes);
             }
             state.lease.tick(now, leader_answers)
@@ -120,11 +119,7 @@
             state.stats.count("leader-gained");
             state.leading_since = now;
             let nodes_before = state.lease.nodes();
-            let term = current.unwrap_or_default();
-            match grant_loop::is_first_leader(&state, shared, term) {
-                true => state.issuer.start_first_term(now, term),
-                false => state.issuer.start_term(now, term, authority.sole_from, nodes_before),
-            }
+            state.issuer.start_term(now, nodes_before);
         }
         _ => {}
     }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -4,7 +4,7 @@
 
 use snafu::Snafu;
 use wagtailmoor_admission::{
-    AdmittedShares, BackEndDemand, LimitReport, NodeAllowance, RoomReply, RoomReport,
+    AdmittedShares, BackEndDemand, CustomerUsage, NodeAllowance, RoomReply, RoomReport,
     TargetObservations,
 };
 use wagtailmoor_core::{BackEndId, NodeId, Priority, RowVersion, ShardKey};
@@ -38,8 +38,8 @@
     pub(crate) keys: Vec<KeyCounts>,
     /// Requests for pooled back ends.
     pub(crate) demand: Vec<BackEndDemand>,
-    /// Tokens of customers, and requests since the last report.
-    pub(crate) limits: LimitReport,
+    /// Usage of customers' limits since the last report.
+    pub(crate) used: Vec<CustomerUsage>,
     /// Requests during which this node lost targets and that the leader has not confirmed yet.
     pub(crate) suspects: Vec<SuspectReport>,
     /// Version of the leader's crash ledger that the reporting node has merged.
@@ -72,10 +72,6 @@
     /// Number of nodes by which limits are divided.
     pub(crate) site_nodes: u32,
     pub(crate) allowances: Vec<NodeAllowance>,
-    /// Whether the leader knows of the customers' tokens at all nodes.
-    pub(crate) limits_settled: bool,
-    /// Whether the leader has had a full report of the caller's tokens.
-    pub(crate) limits_known: bool,
     /// Admitted shares of back ends that get more requests than can be run in time.
     pub(crate) shares: Vec<AdmittedShares>,
     /// Requests that crash targets and that the caller does not know yet.
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use wagtailmoor_admission::{ReportTiming, RoomReply, RoomReport};
 use wagtailmoor_core::{Instant, NodeId};
 use wagtailmoor_telemetry::Event;
@@ -21,9 +21,6 @@
 /// all report at the same time.
 const INTERVAL_JITTER_MIN: f64 = 0.8;
 
-/// Shortest time between two reports of a node. Requests without a token are collected meanwhile.
-const INTERVAL_MIN: Duration = Duration::from_millis(5);
-
 /// A node can lead if the store answered it within this time.
 const STORE_CONTACT_AGE_MAX: Duration = Duration::from_millis(600);
 
@@ -40,11 +37,7 @@
     loop {
         let interval = ReportTiming::interval(shared.read().source.nodes());
         let jitter = shared.write().random.random_range(INTERVAL_JITTER_MIN..1.0);
-        // A request that waits for a token of its customer makes the report due, but not before the
-        // shortest interval has passed.
-        sleep(INTERVAL_MIN).await;
-        let rest = interval.mul_f64(jitter).saturating_sub(INTERVAL_MIN);
-        drop(timeout(rest, shared.report_due.notified()).await);
+        sleep(interval.mul_f64(jitter)).await;
         let now = shared.now();
         let leader = {
             let state = shared.read();
@@ -52,18 +45,17 @@
             state.lease.leader().filter(|_| !leads).map(|row| row.address)
         };
         let report = own_report(&shared, now);
-        let used = report.limits.customers.clone();
+        let used = report.used.clone();
         let reply = match leader {
             None => Some(answer_report(&shared, now, report)),
             Some(address) => link.report(address, report).await,
         };
         if !reply.as_ref().is_some_and(|reply| reply.leads) {
-            shared.write().customers.restore_counts(used);
+            shared.write().customers.restore_usage(used);
         }
         if let Some(reply) = reply {
             apply_reply(&shared, reply);
         }
-        shared.limits_replied.notify_waiters();
     }
 }
 
@@ -74,14 +66,6 @@
         .into_iter()
         .map(|(back_end, keys)| KeyCounts { back_end, keys: keys.into_iter().collect() })
         .collect();
-    let node = settings.node.clone();
-    if state.is_stopping() {
-        state.customers.release_reserve();
-    }
-    let mut limits = state.customers.take_report(now, node, settings.incarnation);
-    if state.lease.authority(now).is_none() {
-        limits.former = state.issuer.former_term();
-    }
     let room = state.room.take_report(now);
     let controls_load = state.config.as_ref().is_some_and(|config| settings.controls_load(config));
     // Elsewhere the leader does not use them, and handles hundreds of reports a second.
@@ -96,7 +80,7 @@
         can_lead: now.saturating_since(state.store_last_contact) < STORE_CONTACT_AGE_MAX,
         keys,
         demand,
-        limits,
+        used: state.customers.take_usage(),
         suspects: state.ledger.unconfirmed_reports(now),
         ledger_version: state.ledger_version,
         service: state.picker.take_observations(),
@@ -129,12 +113,7 @@
         state.source.set_nodes(nodes);
         state.nodes_version = reply.nodes_version;
     }
-    if reply.from != shared.settings.node {
-        state.issuer.clear();
-    }
-    let (nodes, settled) = (reply.site_nodes, reply.limits_settled);
-    let known = reply.limits_known;
-    state.customers.apply_reply(now, reply.allowances, nodes, settled, known);
+    state.customers.apply_reply(now, reply.allowances, reply.site_nodes);
     state.admission_gate.replace(now, reply.shares);
     rollouts::apply(&mut state, now, reply.rollouts);
     let RouterState { room, random, .. } = &mut *state;
@@ -161,8 +140,6 @@
         nodes: None,
         site_nodes: 0,
         allowances: Vec::new(),
-        limits_settled: false,
-        limits_known: false,
         shares: Vec::new(),
         suspects: state.ledger.refused_since(now, report.ledger_version),
         rollouts: Vec::new(),
@@ -195,15 +172,14 @@
         if controls_load {
             reply.room = answer_room(state, now, &node, &report.room);
         }
-        let RouterState { issuer, config, .. } = state;
-        let rule = |customer: &_| config.as_ref().and_then(|config| config.customer(customer));
-        reply.allowances = issuer.answer(now, &report.limits, rule);
+        let rules = || state.config.iter().flat_map(|config| config.customers());
+        state.issuer.refill(now, rules());
+        state.issuer.record_usage(now, &node, &report.used);
         let previous = state.reporters.insert(node.clone(), report.from.clone());
         state.reporters_changed |= previous.is_none_or(|previous| previous != report.from);
         reply.shares = state.admission.shares(now);
-        reply.site_nodes = state.issuer.stored_nodes(now);
-        reply.limits_settled = state.issuer.is_settled(now);
-        reply.limits_known = state.issuer.is_known(&node, report.limits.incarnation);
+        reply.allowances = state.issuer.allowances(now, &node, rules());
+        reply.site_nodes = state.issuer.nodes(now);
         reply.rollouts = rollouts::answer(state, now, &node, &report.rollouts);
         update_node_list(state, now);
         reply.nodes_version = state.reporters_version;
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -131,10 +131,6 @@
     pub(crate) routes_changed: Notify,
     /// Notified when the grant loop has something to do.
     pub(crate) assigner_due: Notify,
-    /// Notified when a request waits for a token of its customer.
-    pub(crate) report_due: Notify,
-    /// Notified when a report has been answered, or its answer was lost.
-    pub(crate) limits_replied: Notify,
 }
 
 /// A handle to the state; each loop of the process has one.
@@ -167,7 +163,7 @@
             local_shares: SortedVec::new(),
             picker: TargetPicker::default(),
             room: RoomGate::default(),
-            customers: CustomerLimits::new(now, limits),
+            customers: CustomerLimits::new(limits),
             cold_gate: ColdGate::default(),
             ledger: CrashLedger::new(crash_settings).with_id(seed),
             unanswered: UnansweredRequests::default(),
@@ -207,8 +203,6 @@
             state: RefCell::new(state),
             routes_changed: Notify::new(),
             assigner_due: Notify::new(),
-            report_due: Notify::new(),
-            limits_replied: Notify::new(),
         })
     }
 
