--- a/crates/ranges/src/epoch_block.rs
+++ b/crates/ranges/src/epoch_block.rs
@@ -20,11 +20,8 @@
     pub const LEN: u64 = 1 << 18;
 
     /// Returns the block that follows the stored end of the last one, `None` if none is stored for
-    /// the era. Tokens up to `used` are left out; they were issued without a reservation.
-    ///
-    /// # Errors
-    ///
-    /// Returns `None` if the era has no tokens left.
+    /// the era. Tokens up to `used` are left out; they were issued without a reservation. Returns
+    /// `None` if the era has no tokens left.
     pub fn next(era: StoreEra, reserved: Option<Epoch>, used: Epoch) -> Option<Self> {
         let after = reserved.unwrap_or_default().max(used).max(Epoch::base_of(era));
         let end = Epoch::new(after.get().checked_add(Self::LEN)?);
