Bound stored fencing tokens and the stated era of the store

Cause: a row may name any token and an answer any era; the gap added to a token overflowed, and an era above 2^16 lost bits in versions.

The era has no test yet.

--- a/crates/core/src/era_parts.rs
+++ b/crates/core/src/era_parts.rs
@@ -12,6 +12,11 @@
 /// Largest low part of a fencing token or generation.
 const TOKEN_LOW_MAX: u64 = (1 << TOKEN_ERA_SHIFT) - 1;
 
+impl StoreEra {
+    /// Highest era that row versions and fencing tokens can hold.
+    pub const MAX: Self = Self::new((1 << (64 - ROW_VERSION_ERA_SHIFT)) - 1);
+}
+
 impl RowVersion {
     /// Creates the version of a row from the number that the store gave it in an era. A version of a
     /// later era is higher than all of earlier ones.
--- a/crates/ranges/src/epoch_source.rs
+++ b/crates/ranges/src/epoch_source.rs
@@ -35,7 +35,7 @@
 
     /// Returns the number of tokens that may still be issued.
     pub(crate) fn remaining(&self) -> u64 {
-        self.end.map_or(u64::MAX, |end| end.get().saturating_sub(self.last.get()))
+        self.end.map_or(u64::MAX, Epoch::get).saturating_sub(self.last.get())
     }
 
     /// Issues a token. The caller has checked that one is left.
--- a/crates/ranges/src/range_list.rs
+++ b/crates/ranges/src/range_list.rs
@@ -63,7 +63,7 @@
 
     /// Returns the highest epoch that a leader may have used whose last table is known.
     pub(crate) fn possibly_used(table: &AssignmentTable) -> Epoch {
-        Epoch::new(table.last_epoch().get() + EPOCH_GAP)
+        Epoch::new(table.last_epoch().get().saturating_add(EPOCH_GAP))
     }
 
     /// Uses only epochs of a block from now on.
--- a/crates/ranges/tests/epochs.rs
+++ b/crates/ranges/tests/epochs.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rstest::rstest;
 use wagtailmoor_core::{Epoch, Incarnation, Instant, ShardKey, StoreEra};
 use wagtailmoor_ranges::{
     AssignerSettings, AssignmentTable, Authority, Command, EpochBlock, GrantOutcome, KeyRange,
@@ -108,6 +109,27 @@
     }
 }
 
+// Guards against arithmetic on the token of a stored row that overflows, and against tokens that go
+// back behind it: a row may name any token, also in a store without eras.
+#[rstest]
+#[case::first(0, true)]
+#[case::usual(5_000_000, true)]
+#[case::nearly_used_up(u64::MAX - 4_200, true)]
+#[case::within_the_gap(u64::MAX - 1, false)]
+#[case::used_up(u64::MAX, false)]
+fn any_stored_token_is_taken(#[case] stored: u64, #[case] moves: bool) {
+    let start = Instant::from_us(10_000_000);
+    let mut owners = AssignmentTable::default();
+    owners.assign(KeyRange::ALL, member("t1", true).process);
+    owners.mark_epochs_used(Epoch::new(stored));
+    let settings = AssignerSettings::default();
+    let mut assigner = RangeAssigner::first_under(start, settings, authority(), Some(&owners));
+    let used = run(&mut assigner, start, Duration::from_secs(10));
+    let new = used.into_iter().filter(|token| *token > Epoch::new(1)).collect::<Vec<_>>();
+    assert!(new.iter().all(|token| *token > Epoch::new(stored)));
+    assert_eq!(!new.is_empty(), moves, "a change of owner needs a token above the stored one");
+}
+
 // Guards against a leader that uses tokens behind its block, and against keys that no longer move
 // although a further block was reserved.
 #[test]
