Reserve further fencing tokens in the background

Cause: the grant loop waited for the store to extend a block, at each tick after a failure; a slow store could delay the renewal of grants. Found by reading, not seen in a run.

Change: one attempt in 2 s, in a task of its own, dropped if the era changed.

Result: the tests of crates/router pass. The path itself has no test.

--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -30,6 +30,10 @@
 /// hundreds of grants are answered each second.
 const TICK_INTERVAL_MIN: Duration = Duration::from_millis(15);
 
+/// Time between two attempts to reserve further fencing tokens. The first is made when half of a block
+/// is left, so a failed one need not be repeated at each tick.
+const RESERVE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Runs the assigners until the process stops.
 pub(crate) async fn run<T: Table + 'static, C: TargetControl + 'static>(
     shared: Shared,
@@ -49,7 +53,7 @@
                 Some(era) if era < term.era() => {
                     enter_era(&shared, &*table, &back_end, term.era()).await;
                 }
-                Some(era) => extend_epochs(&shared, &*table, &back_end, era).await,
+                Some(era) => extend_epochs(&shared, &table, &back_end, era),
             }
             let Some((granter, commands)) = tick(&shared, &back_end) else { continue };
             for command in commands {
@@ -200,18 +204,37 @@
         .info();
 }
 
-/// Reserves further fencing tokens if few of the present ones are left.
-async fn extend_epochs<T: Table>(shared: &Shared, table: &T, back_end: &BackEndId, era: StoreEra) {
-    let granter = match shared.read().granters.get(back_end) {
-        Some(granter) if granter.assigner.needs_epochs() => granter.id,
+/// Reserves further fencing tokens if few of the present ones are left. The store is called in the
+/// background, so that a slow one does not delay the renewal of grants.
+fn extend_epochs<T: Table + 'static>(
+    shared: &Shared,
+    table: &Rc<T>,
+    back_end: &BackEndId,
+    era: StoreEra,
+) {
+    let now = shared.now();
+    let id = match shared.write().granters.get_mut(back_end) {
+        Some(granter) if granter.assigner.needs_epochs() && now >= granter.reserve_at => {
+            granter.reserve_at = now + RESERVE_INTERVAL;
+            granter.id
+        }
         _ => return,
     };
-    let used = Epoch::default();
-    if let Ok(Some(block)) = epoch_reservation::reserve(shared, table, back_end, era, used).await
-        && let Some(granter) = shared.write().granters.get_by_id(back_end, granter)
-    {
-        granter.assigner.use_epochs(&block);
-    }
+    let (shared, table, back_end) = (Rc::clone(shared), Rc::clone(table), back_end.clone());
+    spawn_local(async move {
+        let used = Epoch::default();
+        let Ok(Some(block)) =
+            epoch_reservation::reserve(&shared, &*table, &back_end, era, used).await
+        else {
+            return;
+        };
+        let mut state = shared.write();
+        if let Some(granter) = state.granters.get_by_id(&back_end, id)
+            && granter.era == era
+        {
+            granter.assigner.use_epochs(&block);
+        }
+    });
 }
 
 /// Returns whether a row with owners was written in an era. A row of a former era was written before
--- a/crates/router/src/granter.rs
+++ b/crates/router/src/granter.rs
@@ -1,6 +1,6 @@
 //! The assigner of a back end during one term of this process as the leader.
 
-use wagtailmoor_core::{Generation, RowVersion, StoreEra};
+use wagtailmoor_core::{Generation, Instant, RowVersion, StoreEra};
 use wagtailmoor_ranges::RangeAssigner;
 
 /// Distinguishes the granters that this process started.
@@ -19,4 +19,6 @@
     pub(crate) row_version: RowVersion,
     /// Era of the store in which the owners were last read or stored.
     pub(crate) era: StoreEra,
+    /// Earliest time of the next attempt to reserve fencing tokens.
+    pub(crate) reserve_at: Instant,
 }
--- a/crates/router/src/granters.rs
+++ b/crates/router/src/granters.rs
@@ -1,6 +1,6 @@
 //! The granters of all keyed back ends.
 
-use wagtailmoor_core::{BackEndId, Generation, RowVersion, SortedVec};
+use wagtailmoor_core::{BackEndId, Generation, Instant, RowVersion, SortedVec};
 use wagtailmoor_ranges::RangeAssigner;
 
 use crate::granter::{Granter, GranterId};
@@ -29,7 +29,9 @@
         let id = GranterId(self.started);
         self.started_in.insert(back_end.clone(), generation);
         let era = generation.era();
-        self.granters.insert(back_end, Granter { id, generation, assigner, row_version, era });
+        let reserve_at = Instant::default();
+        let granter = Granter { id, generation, assigner, row_version, era, reserve_at };
+        self.granters.insert(back_end, granter);
     }
 
     /// Returns whether this process has started a granter of a back end in a term, and may have sent
