--- a/crates/front/src/connection_close.rs
+++ b/crates/front/src/connection_close.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, Interest};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
@@ -34,25 +34,28 @@
 /// Behind an announced close, what the client sends is read and discarded, since it may send the
 /// rest of a body before it reads the response. Otherwise nothing is read: a request counts as read
 /// when it was taken from the socket, and the client could not send it again.
-pub(crate) async fn close(
-    mut stream: TcpStream,
-    announcement: Announcement,
-    last_written_at: Instant,
-) {
+pub(crate) async fn close(stream: TcpStream, announcement: Announcement, last_written_at: Instant) {
     // Fails if the client has closed the connection, which is noticed below as well.
     drop(SockRef::from(&stream).shutdown(Shutdown::Write));
     let closed = async {
         match announcement {
-            Announcement::Announced => discard_received(&mut stream).await,
+            Announcement::Announced => discard_received(&stream).await,
             Announcement::Unannounced => closed_by_client(&stream).await,
         }
     };
     drop(timeout_at(last_written_at + LINGER_MAX, closed).await);
 }
 
-async fn discard_received(stream: &mut TcpStream) {
-    let mut discarded = [0; DISCARD_BYTES];
-    while matches!(stream.read(&mut discarded).await, Ok(1..)) {}
+async fn discard_received(stream: &TcpStream) {
+    while stream.readable().await.is_ok() {
+        // Not kept across the wait: it would be part of the memory of each open connection.
+        let mut discarded = [0; DISCARD_BYTES];
+        match stream.try_read(&mut discarded) {
+            Ok(1..) => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            _ => return,
+        }
+    }
 }
 
 async fn closed_by_client(stream: &TcpStream) {
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -211,8 +211,10 @@
         // Drops what still runs for the connection, so that the targets cancel it.
         let stream = connection.into_parts().io.into_inner().into_inner();
         drop(pipelined_requests);
+        // Connections above the limit are closed at once: the limit protects the file descriptors.
+        let lingers = !over_limit && !state.closed_by_client.get();
         match state.written_at.get() {
-            Some(written_at) if !state.closed_by_client.get() => {
+            Some(written_at) if lingers => {
                 connection_close::close(stream, announcement.get(), written_at).await;
             }
             _ => {}
