--- a/crates/core/src/reported_duration.rs
+++ b/crates/core/src/reported_duration.rs
@@ -63,10 +63,10 @@
     ///
     /// # Errors
     ///
-    /// The text is no number, or the number is negative.
+    /// The text is no number, or the number is negative or infinite.
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         match text.parse::<f64>() {
-            Ok(seconds) if seconds >= 0.0 => {
+            Ok(seconds) if seconds.is_finite() && seconds >= 0.0 => {
                 Ok(Duration::try_from_secs_f64(seconds).map_or(Self::MAX, Self::new))
             }
             _ => Err(ParseError::new("duration", text, "seconds from 0 on")),
