--- a/crates/admission/src/limit_issuer.rs
+++ b/crates/admission/src/limit_issuer.rs
@@ -24,11 +24,13 @@
 /// Level of an account below which nodes get allowances, in percent of the burst.
 const ALLOWANCE_LEVEL_PERCENT: f64 = 60.0;
 
-/// Part of the burst in an account that starts with a term. What was admitted before the term is in
-/// the same window as the first requests of it.
+/// Part of the burst in an account at the start of a term. It is low because the window of the first
+/// requests contains those that were admitted before the term, and above zero because customers
+/// within their rate would be refused until the account has refilled.
 const START_LEVEL_PART: f64 = 0.25;
 
-/// The same for the first issuer that is known of.
+/// The same on a new site, where no issuer has granted anything before. It is recognized by the
+/// number of nodes before the term, which is zero.
 const FIRST_START_LEVEL_PART: f64 = 0.5;
 
 #[derive(Debug)]
--- a/crates/store/tests/compressed_page.rs
+++ b/crates/store/tests/compressed_page.rs
@@ -25,7 +25,7 @@
         write!(
             text,
             "{{\"host\":\"desk.example\",\"prefix\":\"/{:08x}/\",\"service\":\"pumps\",\
-             \"kind\":\"idempotent\",\"timeoutS\":2.5,\"maxAttempts\":2,\"priority\":1}},",
+             \"mode\":\"repeatable\",\"time_limit\":2.5,\"tries_max\":2,\"urgency\":1}},",
             route.wrapping_mul(2_654_435_761)
         )
         .unwrap();
