Log the version and the age by which a request is decided

Cause: the line of a request states the configuration at its end, so a request that was decided by version 1 and ended after version 4 arrived shows version 4. The line of a version doesn't say where it came from, how old it was or what it cost, and nothing shows that the event loop stood still.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -14,7 +14,9 @@
 use wagtailmoor_dispatch::{
     AttemptId, Fingerprint, Observation, RecordKey, RecordRefusal, RecordState, TimeBucket, Verdict,
 };
-use wagtailmoor_front::{AssignedTarget, Call, Gateway, NativeDialect, Refusal, RequestHead};
+use wagtailmoor_front::{
+    AssignedTarget, Call, ConfigBasis, Gateway, NativeDialect, Refusal, RequestHead,
+};
 use wagtailmoor_limits::{Admission, Credit, Permit, ResourceId};
 use wagtailmoor_ownership::Route;
 use wagtailmoor_telemetry::{Event, RequestSample};
@@ -451,6 +453,10 @@
             }
             None => Default::default(),
         };
+        let config = ConfigBasis {
+            version: self.propagation.configuration().version(),
+            age: self.propagation.age(now).unwrap_or(Duration::MAX),
+        };
         Call {
             request_id: None,
             shard_key: None,
@@ -459,6 +465,7 @@
             fresh_connection: !route.idempotent,
             id: AttemptId::new(self.random.random()),
             received_at: now,
+            config,
             deadline: now + timeout,
             customer: route.customer.map(|customer| customer.customer.clone()),
             weight: route.customer.map_or(Weight::new(1), |customer| customer.weight),
--- /dev/null
+++ b/crates/front/src/config_basis.rs
@@ -0,0 +1,14 @@
+//! The configuration by which a request is decided.
+
+use std::time::Duration;
+
+use wagtailmoor_core::ConfigVersion;
+
+/// The configuration by which a request was decided, and how old it was at that moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConfigBasis {
+    /// Version of the configuration.
+    pub version: ConfigVersion,
+    /// Time since the latest instant at which the version was known to be the newest.
+    pub age: Duration,
+}
--- a/crates/front/src/gateway.rs
+++ b/crates/front/src/gateway.rs
@@ -14,8 +14,8 @@
 };
 use wagtailmoor_telemetry::TrafficMeter;
 
-use crate::Refusal;
 use crate::dialect::Dialect;
+use crate::{ConfigBasis, Refusal};
 
 /// Fields of a request head that the gateway decides on.
 #[derive(Clone, Debug)]
@@ -47,6 +47,8 @@
     pub request_id: Option<Arc<str>>,
     /// When the request head was received.
     pub received_at: Instant,
+    /// The configuration by which the request was matched to a route.
+    pub config: ConfigBasis,
     /// When the client times out.
     pub deadline: Instant,
     /// Customer, or `None` for an anonymous request on a route that allows it.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod body;
 mod checked_stream;
+mod config_basis;
 mod connection_close;
 mod dialect;
 mod exchange;
@@ -22,6 +23,7 @@
 mod target_request;
 mod tracked_plan;
 
+pub use config_basis::ConfigBasis;
 pub use dialect::{AttemptHead, Dialect};
 pub use gateway::{AssignedTarget, Call, Gateway, RequestHead};
 pub use headers::{Credential, credential, single_value};
--- a/crates/front/tests/support/gateway.rs
+++ b/crates/front/tests/support/gateway.rs
@@ -12,7 +12,7 @@
 use wagtailmoor_dispatch::{
     AttemptId, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
 };
-use wagtailmoor_front::{AssignedTarget, Call, Gateway, Refusal, RequestHead};
+use wagtailmoor_front::{AssignedTarget, Call, ConfigBasis, Gateway, Refusal, RequestHead};
 use wagtailmoor_telemetry::Event;
 
 use super::dialect::ScriptedDialect;
@@ -105,6 +105,7 @@
             id: AttemptId::new(self.calls.get() << 8),
             request_id: None,
             received_at: now,
+            config: ConfigBasis::default(),
             deadline: now + head.deadline.map_or(Duration::from_secs(60), Duration::from),
             customer: Some("acme".parse().unwrap()),
             weight: Weight::new(1),
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -17,6 +17,7 @@
 use wagtailmoor_telemetry::Event;
 
 use crate::rollouts::{self, ROW_PREFIX};
+use crate::row_origin::{RowOrigin, RowSource};
 use crate::site_decoder::{OperatorChange, SiteDecoder};
 use crate::state::{RouterState, Shared};
 use crate::stats::Stats;
@@ -94,6 +95,7 @@
         let relayed = shared.read().rows.version(table);
         after = after.or(Some(relayed).filter(|version| version.get() > 0));
         after = after.map(|after| after.max(relayed));
+        let sent_at = shared.now();
         let page = match after {
             None => feed.snapshot(table).await,
             Some(after) => feed.changes(table, after, feed_wait(&shared, table, wait)).await,
@@ -104,13 +106,18 @@
                     on_store_recovery(&shared, table);
                 }
                 failures = 0;
+                let origin = RowOrigin {
+                    source: RowSource::Store,
+                    as_of: sent_at,
+                    received_at: shared.now(),
+                };
                 record_answer::<S>(&shared, table);
                 if after.is_none() {
-                    drop_missing(&shared, &*decoder, table, &page);
+                    drop_missing(&shared, &*decoder, table, origin, &page);
                 }
                 after = Some(page.version);
                 let changed = !page.rows.is_empty();
-                apply(&shared, &*decoder, table, CompressedPage::compress(page));
+                apply(&shared, &*decoder, table, origin, CompressedPage::compress(page));
                 sleep(if changed { change_pause } else { EMPTY_PAUSE }).await;
             }
             Err(FeedError::HistoryLost) => {
@@ -211,9 +218,15 @@
 }
 
 /// Applies the removal of rows that a full read does not list.
-fn drop_missing<S: SiteDecoder>(shared: &Shared, decoder: &S, table: &str, listed: &FeedPage) {
+fn drop_missing<S: SiteDecoder>(
+    shared: &Shared,
+    decoder: &S,
+    table: &str,
+    origin: RowOrigin,
+    listed: &FeedPage,
+) {
     let missing = shared.read().rows.missing(table, listed);
-    apply(shared, decoder, table, missing);
+    apply(shared, decoder, table, origin, missing);
 }
 
 /// Applies rows of a table, from the store or from another node.
@@ -221,6 +234,7 @@
     shared: &Shared,
     decoder: &S,
     table: &str,
+    origin: RowOrigin,
     page: CompressedPage,
 ) {
     let now = shared.now();
@@ -228,7 +242,7 @@
     state.observe_era(now, page.version.era());
     let newer = state.rows.merge(now, table, page);
     drop(state);
-    apply_rows(shared, decoder, table, &newer);
+    apply_rows(shared, decoder, table, origin, &newer);
 }
 
 /// Applies rows that went back when the store was restored and were not written again in time.
@@ -238,14 +252,22 @@
         if !due.is_empty() {
             Event::new("restored-rows").field("table", table).field("rows", due.len()).info();
         }
-        apply_rows(shared, decoder, table, &due);
+        let now = shared.now();
+        let origin = RowOrigin { source: RowSource::OwnCopy, as_of: now, received_at: now };
+        apply_rows(shared, decoder, table, origin, &due);
     }
 }
 
-fn apply_rows<S: SiteDecoder>(shared: &Shared, decoder: &S, table: &str, rows: &[CompressedRow]) {
+fn apply_rows<S: SiteDecoder>(
+    shared: &Shared,
+    decoder: &S,
+    table: &str,
+    origin: RowOrigin,
+    rows: &[CompressedRow],
+) {
     for compressed in rows {
         match compressed.decompress() {
-            Ok(row) if table == S::OPERATOR_TABLE => apply_operator(shared, decoder, &row),
+            Ok(row) if table == S::OPERATOR_TABLE => apply_operator(shared, decoder, origin, &row),
             Ok(row) if table == S::TARGET_TABLE => apply_target(shared, decoder, &row),
             Ok(row) => apply_ranges(shared, &row),
             Err(error) => {
@@ -265,8 +287,7 @@
     }
 }
 
-fn apply_operator<S: SiteDecoder>(shared: &Shared, decoder: &S, row: &FeedRow) {
-    let now = shared.now();
+fn apply_operator<S: SiteDecoder>(shared: &Shared, decoder: &S, origin: RowOrigin, row: &FeedRow) {
     let mut state = shared.write();
     match decoder.operator_change(&row.key, row.content.as_deref()) {
         Ok(OperatorChange::Config(config)) => {
@@ -275,11 +296,15 @@
             if previous.is_none_or(|previous| previous < version) {
                 log_unusable_elements(version, config.unusable());
                 state.config = Some(*config);
+                let now = shared.now();
                 Event::new("config")
                     .field("version", version)
                     .optional("before", previous)
                     .field("bytes", row.content.as_ref().map_or(0, Bytes::len))
                     .field("row_version", row.version)
+                    .field("source", origin.source)
+                    .field("age_ms", origin.received_at.saturating_since(origin.as_of).as_millis())
+                    .field("work_us", now.saturating_since(origin.received_at).as_micros())
                     .field("store_age_ms", state.source.age(now).as_millis())
                     .info();
             }
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -12,7 +12,9 @@
 use wagtailmoor_dispatch::{
     AttemptId, BodyTimeout, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
 };
-use wagtailmoor_front::{AssignedTarget, Call, Dialect, Gateway, Refusal, RequestHead};
+use wagtailmoor_front::{
+    AssignedTarget, Call, ConfigBasis, Dialect, Gateway, Refusal, RequestHead,
+};
 use wagtailmoor_rollout::InFlightGuard;
 use wagtailmoor_site::{KeyMatch, RouteMatch, RouteRule, SiteConfig};
 use wagtailmoor_telemetry::{Event, TrafficMeter};
@@ -150,7 +152,14 @@
         let now = self.now();
         let mut state = self.shared.write();
         let RouterState {
-            config, tables, registry, local_shares, random, shutdown_deadline, ..
+            config,
+            tables,
+            registry,
+            local_shares,
+            random,
+            shutdown_deadline,
+            source,
+            ..
         } = &mut *state;
         let Some(config) = config else {
             let refusal = Refusal::not_run(Reason::NotReady, "no configuration is known yet");
@@ -183,6 +192,7 @@
             id: AttemptId::new(random.random()),
             request_id: head.request_id.map(Into::into),
             received_at: now,
+            config: ConfigBasis { version: config.version(), age: source.age(now) },
             deadline,
             customer,
             weight: Weight::new(1),
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -19,6 +19,9 @@
 /// Interval at which the lease is checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// A shorter delay of the event loop is not logged; a change passes three nodes within two seconds.
+const LOGGED_DELAY_MIN: Duration = Duration::from_millis(250);
+
 /// Upper bound of the random delay before the first check, so that nodes that start at once do not
 /// all claim the lease at the same time.
 const START_JITTER_MAX: Duration = Duration::from_millis(250);
@@ -62,7 +65,18 @@
             None => probe(&shared, &*table).await,
         }
         term = update_leadership(&shared, term);
+        let due = shared.now() + TICK_INTERVAL;
         sleep(TICK_INTERVAL).await;
+        log_delay(&shared, due);
+    }
+}
+
+/// Logs that the event loop reached a timer late, because the process was busy or stood still.
+fn log_delay(shared: &Shared, due: Instant) {
+    let delay = shared.now().saturating_since(due);
+    if delay >= LOGGED_DELAY_MIN {
+        shared.write().stats.count("loop-delayed");
+        Event::new("loop-delayed").field("delay_ms", delay.as_millis()).warn();
     }
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -32,6 +32,7 @@
 mod room_at_targets;
 mod router;
 mod row_cache;
+mod row_origin;
 mod row_source;
 mod site_decoder;
 mod split;
--- a/crates/router/src/row_source.rs
+++ b/crates/router/src/row_source.rs
@@ -16,6 +16,7 @@
 use crate::feeds::{self, RANGES_TABLE};
 use crate::peer_link::PeerLink;
 use crate::peer_service::{KnownVersions, MissingRows};
+use crate::row_origin::{RowOrigin, RowSource};
 use crate::site_decoder::SiteDecoder;
 use crate::state::Shared;
 
@@ -158,18 +159,20 @@
 }
 
 fn apply_rows<S: SiteDecoder>(shared: &Shared, decoder: &S, call: PendingCall, rows: MissingRows) {
+    // The answer states the age of the data when it was sent. The time of the transfer adds to that
+    // age; the time that the other node waited before it answered does not.
+    let up_to = call.sent_at + rows.waited - rows.store_age;
+    let received_at = shared.now();
+    let origin = RowOrigin { source: RowSource::Node(call.peer), as_of: up_to, received_at };
     match rows.can_relay {
-        // The answer states the age of the data when it was sent. The time of the transfer adds to
-        // that age; the time that the other node waited before it answered does not.
         true => {
-            let up_to = call.sent_at + rows.waited - rows.store_age;
             record_relayed(shared, call.peer, up_to, rows.designated_origin);
         }
         false => record_peer_failure(shared, call.peer, PeerFailure::Stale),
     }
-    feeds::apply(shared, decoder, S::OPERATOR_TABLE, rows.operators);
-    feeds::apply(shared, decoder, S::TARGET_TABLE, rows.targets);
-    feeds::apply(shared, decoder, RANGES_TABLE, rows.ranges);
+    feeds::apply(shared, decoder, S::OPERATOR_TABLE, origin, rows.operators);
+    feeds::apply(shared, decoder, S::TARGET_TABLE, origin, rows.targets);
+    feeds::apply(shared, decoder, RANGES_TABLE, origin, rows.ranges);
     shared.write().observe_leader(shared.now(), rows.leader);
 }
 
