Count the age of data from when the store made its answer

Cause: an answer of the store counted from the moment at which the process handled it. A process that was busy, stood still or had a slow link took old data for fresh, and passed that on to the nodes that rely on it, so none of them looked for another source. Change: AnswerClock dates an answer by the time at which its call was sent and by the store's steady clock, never after the store made it; the wait of a call doesn't add to the age. Data count as confirmed only once their rows are applied. The wait that another node states is at most the time since the call.

--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 use tokio::time::sleep;
 use wagtailmoor_admission::ReportTiming;
-use wagtailmoor_core::{BackEndId, ConfigVersion, RowVersion};
+use wagtailmoor_core::{BackEndId, ConfigVersion, Instant, RowVersion};
 use wagtailmoor_ranges::AssignmentTable;
 use wagtailmoor_rollout::RolloutRow;
 use wagtailmoor_site::{ElementKind, RegistryChange, UnusableReport};
@@ -16,6 +16,7 @@
 };
 use wagtailmoor_telemetry::Event;
 
+use crate::AnswerClock;
 use crate::rollouts::{self, ROW_PREFIX};
 use crate::row_origin::{RowOrigin, RowSource};
 use crate::site_decoder::{OperatorChange, SiteDecoder};
@@ -59,7 +60,7 @@
 /// their relay sends them changes as soon as the store is reachable again.
 const RETRY_PAUSE_OTHERS: Duration = Duration::from_millis(2_500);
 
-/// A node whose last answer for a table is older than the feed wait plus this margin is starting to
+/// A node whose rows of a table are older than the feed wait plus this margin is starting to
 /// follow the table again.
 const RESTART_MARGIN: Duration = Duration::from_millis(1_000);
 
@@ -75,6 +76,7 @@
 ) {
     let mut after: Option<RowVersion> = None;
     let mut failures = 0;
+    let mut clock = AnswerClock::default();
     let (wait, change_pause) = match table {
         RANGES_TABLE => (RANGES_FEED_WAIT, RANGES_CHANGE_PAUSE),
         _ => (FEED_WAIT, CHANGE_PAUSE),
@@ -106,18 +108,16 @@
                     on_store_recovery(&shared, table);
                 }
                 failures = 0;
-                let origin = RowOrigin {
-                    source: RowSource::Store,
-                    as_of: sent_at,
-                    received_at: shared.now(),
-                };
-                record_answer::<S>(&shared, table);
+                let received_at = shared.now();
+                let as_of = clock.date(sent_at, received_at, page.store_time);
+                let origin = RowOrigin { source: RowSource::Store, as_of, received_at };
                 if after.is_none() {
                     drop_missing(&shared, &*decoder, table, origin, &page);
                 }
                 after = Some(page.version);
                 let changed = !page.rows.is_empty();
                 apply(&shared, &*decoder, table, origin, CompressedPage::compress(page));
+                record_answer::<S>(&shared, table, as_of);
                 sleep(if changed { change_pause } else { EMPTY_PAUSE }).await;
             }
             Err(FeedError::HistoryLost) => {
@@ -148,8 +148,8 @@
 /// Returns how long a feed call waits for changes. A node that starts to follow the store again
 /// does not wait: others rely on its data as soon as the store has answered for each table.
 fn feed_wait(shared: &Shared, table: &str, wait: Duration) -> Duration {
-    let last_contact = shared.read().tables_last_contact.get(table).copied().unwrap_or_default();
-    match shared.now().saturating_since(last_contact) > wait + RESTART_MARGIN {
+    let confirmed_to = shared.read().tables_confirmed_to.get(table).copied().unwrap_or_default();
+    match shared.now().saturating_since(confirmed_to) > wait + RESTART_MARGIN {
         true => Duration::ZERO,
         false => wait,
     }
@@ -180,15 +180,14 @@
     longest.mul_f64(shared.write().random.random_range(0.5..1.0))
 }
 
-/// Records an answer of the store for a table. The older answer for the tables of operators and
-/// targets determines the age of this node's data.
-fn record_answer<S: SiteDecoder>(shared: &Shared, table: &'static str) {
-    let now = shared.now();
+/// Records that all rows of a table up to an instant are in force. The older one of the tables of
+/// operators and targets determines the age of this node's data.
+fn record_answer<S: SiteDecoder>(shared: &Shared, table: &'static str, as_of: Instant) {
     let mut state = shared.write();
-    state.tables_last_contact.insert(table, now);
-    let last_contacts = [S::OPERATOR_TABLE, S::TARGET_TABLE]
-        .map(|table| state.tables_last_contact.get(table).copied().unwrap_or_default());
-    state.source.record_store_answer(last_contacts[0].min(last_contacts[1]));
+    state.tables_confirmed_to.insert(table, as_of);
+    let confirmed_to = [S::OPERATOR_TABLE, S::TARGET_TABLE]
+        .map(|table| state.tables_confirmed_to.get(table).copied().unwrap_or_default());
+    state.source.record_store_answer(confirmed_to[0].min(confirmed_to[1]));
 }
 
 fn on_call_failed(shared: &Shared, table: &'static str, failures: u32, cause: &str) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 //! `ChangeFeed`. The front end's `Dialect` translates messages of clients and targets.
 
 mod admission_control;
+mod answer_clock;
 mod boot_clock;
 mod change_source;
 mod epoch_reservation;
@@ -42,6 +43,7 @@
 mod target_control;
 mod zone_traffic;
 
+pub use answer_clock::AnswerClock;
 pub use boot_clock::BootClock;
 pub use change_source::ChangeSource;
 pub use gateway::{AttemptGuard, CreditGuard};
--- a/crates/router/src/row_source.rs
+++ b/crates/router/src/row_source.rs
@@ -161,32 +161,34 @@
 fn apply_rows<S: SiteDecoder>(shared: &Shared, decoder: &S, call: PendingCall, rows: MissingRows) {
     // The answer states the age of the data when it was sent. The time of the transfer adds to that
     // age; the time that the other node waited before it answered does not.
-    let up_to = call.sent_at + rows.waited - rows.store_age;
     let received_at = shared.now();
+    let waited = rows.waited.min(received_at.saturating_since(call.sent_at));
+    let up_to = call.sent_at + waited - rows.store_age;
     let origin = RowOrigin { source: RowSource::Node(call.peer), as_of: up_to, received_at };
-    match rows.can_relay {
-        true => {
-            record_relayed(shared, call.peer, up_to, rows.designated_origin);
-        }
-        false => record_peer_failure(shared, call.peer, PeerFailure::Stale),
+    if rows.can_relay {
+        handle_recovery(shared, call.peer);
     }
     feeds::apply(shared, decoder, S::OPERATOR_TABLE, origin, rows.operators);
     feeds::apply(shared, decoder, S::TARGET_TABLE, origin, rows.targets);
     feeds::apply(shared, decoder, RANGES_TABLE, origin, rows.ranges);
     shared.write().observe_leader(shared.now(), rows.leader);
+    match rows.can_relay {
+        true => {
+            shared.write().source.record_relayed(call.peer, up_to, rows.designated_origin);
+        }
+        false => record_peer_failure(shared, call.peer, PeerFailure::Stale),
+    }
 }
 
-/// Records that another node relayed all changes up to an instant.
-fn record_relayed(shared: &Shared, peer: SocketAddr, up_to: Instant, designated_origin: bool) {
+/// Prepares for rows after a time without a source: entries of targets that expired while the store
+/// was unreachable are missing from them.
+fn handle_recovery(shared: &Shared, peer: SocketAddr) {
     let now = shared.now();
     let mut state = shared.write();
     if state.source.is_cut_off(now) {
-        // Entries of targets that expired while the store was unreachable are missing from the rows
-        // that follow.
         state.registry.on_store_recovery(now);
         Event::new("relay-gained").field("peer", peer).info();
     }
-    state.source.record_relayed(peer, up_to, designated_origin);
 }
 
 /// Answers a node's call as soon as there are changes for it, or `RELAY_WAIT` has passed.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -106,8 +106,8 @@
     pub(crate) store_last_contact: Instant,
     /// Whether the leader has failed to renew its lease in time.
     pub(crate) leader_renewal_overdue: bool,
-    /// When the store last answered a feed call for each table.
-    pub(crate) tables_last_contact: SortedVec<&'static str, Instant>,
+    /// Up to when the rows of each table that the store sent are complete.
+    pub(crate) tables_confirmed_to: SortedVec<&'static str, Instant>,
     /// Where this node gets changes, and the age of its data.
     pub(crate) source: ChangeSource,
     /// The table whose feed is retried while the store is unreachable; `None` while it answers.
@@ -188,7 +188,7 @@
             leader_last_contact: Instant::default(),
             store_last_contact: Instant::default(),
             leader_renewal_overdue: false,
-            tables_last_contact: SortedVec::new(),
+            tables_confirmed_to: SortedVec::new(),
             source,
             store_down: None,
             shutdown_deadline: None,
--- a/crates/store/src/change_feed.rs
+++ b/crates/store/src/change_feed.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use snafu::Snafu;
-use wagtailmoor_core::RowVersion;
+use wagtailmoor_core::{RowVersion, StoreTime};
 use wagtailmoor_derive::value;
 
 /// A row of a table at one version.
@@ -26,6 +26,8 @@
     pub rows: Vec<FeedRow>,
     /// Version after which the next page starts.
     pub version: RowVersion,
+    /// When the store made the page; `None` if it does not say so.
+    pub store_time: Option<StoreTime>,
 }
 
 /// An error of a feed request.
--- a/crates/store/tests/compressed_page.rs
+++ b/crates/store/tests/compressed_page.rs
@@ -39,7 +39,11 @@
 fn burst_of_large_configurations_fits_a_slow_link() {
     let versions = 1..=VERSIONS;
     let rows = versions.map(|version| row("config", version, configuration(version))).collect();
-    let page = CompressedPage::compress(FeedPage { rows, version: RowVersion::new(VERSIONS) });
+    let page = CompressedPage::compress(FeedPage {
+        rows,
+        version: RowVersion::new(VERSIONS),
+        store_time: None,
+    });
 
     assert_eq!(page.rows.len(), 1);
     assert_eq!(page.version, RowVersion::new(VERSIONS));
