Decide requests only by data that are known to be current

What callers saw: requests sent more than 2 s after a version was acknowledged ran at the back end of before, with a dropped route or with a withdrawn key. Cause: a request was decided by whatever was in force when it was read. After the process was busy or stood still, requests that waited in its sockets were decided before the answer with the new version was handled. Change: DecisionGate lets a request be decided only by data confirmed within three quarters of the time in which a change must be in force (bounds.configApplyS, 2 s if absent). Otherwise the request waits for a confirmation, in 15 steps of 20 ms at most, each of which takes a turn of the event loop; after that, and while sources keep failing, the node serves what it can by the data that it has. The same holds before a target is chosen, which covers targets that drain and zones out of service.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -64,7 +64,7 @@
         self.entry.now()
     }
 
-    fn resolve(&self, head: &RequestHead<'_>) -> Result<Call, Refusal> {
+    async fn resolve(&self, head: &RequestHead<'_>) -> Result<Call, Refusal> {
         let now = self.now();
         let mut state = self.entry.state();
         check_ready(&state)?;
@@ -456,6 +456,7 @@
         let config = ConfigBasis {
             version: self.propagation.configuration().version(),
             age: self.propagation.age(now).unwrap_or(Duration::MAX),
+            waited: Duration::ZERO,
         };
         Call {
             request_id: None,
--- a/crates/front/src/config_basis.rs
+++ b/crates/front/src/config_basis.rs
@@ -11,4 +11,6 @@
     pub version: ConfigVersion,
     /// Time since the latest instant at which the version was known to be the newest.
     pub age: Duration,
+    /// How long the request waited until the version was known to be current.
+    pub waited: Duration,
 }
--- a/crates/front/src/gateway.rs
+++ b/crates/front/src/gateway.rs
@@ -145,12 +145,12 @@
     /// Returns the current time of the clock that deadlines refer to.
     fn now(&self) -> Instant;
 
-    /// Authenticates a request and matches it to a route.
+    /// Authenticates a request and matches it to a route, once the data to decide by are current.
     ///
     /// # Errors
     ///
     /// The refusal to send to the client.
-    fn resolve(&self, head: &RequestHead<'_>) -> Result<Call, Refusal>;
+    fn resolve(&self, head: &RequestHead<'_>) -> impl Future<Output = Result<Call, Refusal>>;
 
     /// Returns the fingerprint of a request.
     ///
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -247,7 +247,7 @@
         let (parts, incoming) = request.into_parts();
         let dialect = self.gateway.dialect();
         let head = dialect.request_head(&parts).map_err(|refusal| self.refuse(refusal))?;
-        let call = self.gateway.resolve(&head).map_err(|refusal| self.refuse(refusal))?;
+        let call = self.gateway.resolve(&head).await.map_err(|refusal| self.refuse(refusal))?;
         let call = Rc::new(call);
         let credit = match G::ADMITS_BEFORE_BODY {
             true => Some(self.admit(&call).await?),
@@ -270,7 +270,7 @@
     /// request, which runs only after the earlier ones.
     async fn exchange_pipelined(&self, parts: Parts) -> PipelinedResult<G> {
         let head = self.gateway.dialect().request_head(&parts).ok()?;
-        let call = self.gateway.resolve(&head).ok().filter(|call| call.idempotent)?;
+        let call = self.gateway.resolve(&head).await.ok().filter(|call| call.idempotent)?;
         let body = CollectedBody::Complete(Bytes::new());
         Some(self.run(parts, Rc::new(call), body, FaultCell::default(), None).await)
     }
--- a/crates/front/tests/support/gateway.rs
+++ b/crates/front/tests/support/gateway.rs
@@ -82,7 +82,7 @@
         Instant::from_us(0) + self.start.elapsed()
     }
 
-    fn resolve(&self, head: &RequestHead<'_>) -> Result<Call, Refusal> {
+    async fn resolve(&self, head: &RequestHead<'_>) -> Result<Call, Refusal> {
         let event = Event::new("resolve").field("method", head.method).field("path", head.path);
         self.record(event.optional("idempotency_key", head.idempotency_key));
         match (head.digest, head.path) {
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -188,6 +188,8 @@
     let confirmed_to = [S::OPERATOR_TABLE, S::TARGET_TABLE]
         .map(|table| state.tables_confirmed_to.get(table).copied().unwrap_or_default());
     state.source.record_store_answer(confirmed_to[0].min(confirmed_to[1]));
+    drop(state);
+    shared.data_confirmed.notify_waiters();
 }
 
 fn on_call_failed(shared: &Shared, table: &'static str, failures: u32, cause: &str) {
@@ -197,6 +199,7 @@
     let leader = state.leader_view(now);
     let could_relay = state.source.can_relay(now, leader);
     state.source.record_store_failure();
+    state.decision_gate.record_failure(now);
     if could_relay && !state.source.can_relay(now, leader) {
         // Wakes the pending calls of other nodes, so that these switch to another source at once.
         shared.routes_changed.notify_waiters();
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -20,6 +20,7 @@
 use wagtailmoor_telemetry::{Event, TrafficMeter};
 
 use crate::admission_control;
+use crate::confirmation_wait;
 use crate::log_lines;
 use crate::rollouts;
 use crate::room_at_targets;
@@ -87,69 +88,10 @@
     pub(crate) fn new(shared: Shared, dialect: D) -> Self {
         Self { shared, dialect }
     }
-}
-
-/// Refunds a request to its customer's limit if the request is dropped before it was sent to a
-/// target.
-pub struct CreditGuard {
-    shared: Shared,
-    customer: Option<CustomerId>,
-}
-
-impl Drop for CreditGuard {
-    fn drop(&mut self) {
-        if let Some(customer) = &self.customer {
-            self.shared.write().customers.refund(customer);
-        }
-    }
-}
-
-/// Counts an attempt as running and unanswered at its target, and as in flight to the version of
-/// the target, until dropped.
-pub struct AttemptGuard {
-    _running: RunningGuard,
-    _unanswered: UnansweredGuard,
-    _in_flight: Option<InFlightGuard>,
-}
-
-/// The retry budget of one back end.
-pub(crate) struct BackEndBudget {
-    shared: Shared,
-    back_end: BackEndId,
-}
-
-impl RetryBudget for BackEndBudget {
-    fn earn(&mut self, now: Instant) {
-        let share = self.shared.settings.limits.retry_share;
-        self.shared.write().budget(&self.back_end, share).record_first(now);
-    }
-
-    fn spend(&mut self, now: Instant) -> bool {
-        let share = self.shared.settings.limits.retry_share;
-        self.shared.write().budget(&self.back_end, share).take(now)
-    }
-}
-
-impl<D: Dialect<Load = LoadSample> + 'static> Gateway for RouterGateway<D> {
-    /// What exceeds a limit or the admitted share is refused before its body is read.
-    const ADMITS_BEFORE_BODY: bool = true;
 
-    type Dialect = D;
-    type Credit = CreditGuard;
-    type Guard = AttemptGuard;
-    type ConnectionPermit = ();
-    type Budget = BackEndBudget;
-
-    fn dialect(&self) -> &D {
-        &self.dialect
-    }
-
-    fn now(&self) -> Instant {
-        self.shared.now()
-    }
-
-    fn resolve(&self, head: &RequestHead<'_>) -> Result<Call, Refusal> {
-        let now = self.now();
+    /// Matches a request to a route by the current state.
+    fn decide(&self, head: &RequestHead<'_>, received_at: Instant) -> Result<Call, Refusal> {
+        let now = self.shared.now();
         let mut state = self.shared.write();
         let RouterState {
             config,
@@ -187,12 +129,16 @@
         let keyed = config.back_end(&back_end).is_some_and(|rule| rule.keyed);
         let shard_key = head.shard_key.filter(|_| keyed);
         let timeout = head.deadline.map_or(route.timeout, |wait| wait.get().min(route.timeout));
-        let deadline = deadline(now, timeout, route.idempotent, *shutdown_deadline)?;
+        let deadline = deadline(received_at, timeout, route.idempotent, *shutdown_deadline)?;
         let mut call = Call {
             id: AttemptId::new(random.random()),
             request_id: head.request_id.map(Into::into),
-            received_at: now,
-            config: ConfigBasis { version: config.version(), age: source.age(now) },
+            received_at,
+            config: ConfigBasis {
+                version: config.version(),
+                age: source.age(now),
+                waited: now.saturating_since(received_at),
+            },
             deadline,
             customer,
             weight: Weight::new(1),
@@ -222,6 +168,72 @@
         call.hedge_after = room_at_targets::hedge_after(&mut state, now, &call);
         Ok(call)
     }
+}
+
+/// Refunds a request to its customer's limit if the request is dropped before it was sent to a
+/// target.
+pub struct CreditGuard {
+    shared: Shared,
+    customer: Option<CustomerId>,
+}
+
+impl Drop for CreditGuard {
+    fn drop(&mut self) {
+        if let Some(customer) = &self.customer {
+            self.shared.write().customers.refund(customer);
+        }
+    }
+}
+
+/// Counts an attempt as running and unanswered at its target, and as in flight to the version of
+/// the target, until dropped.
+pub struct AttemptGuard {
+    _running: RunningGuard,
+    _unanswered: UnansweredGuard,
+    _in_flight: Option<InFlightGuard>,
+}
+
+/// The retry budget of one back end.
+pub(crate) struct BackEndBudget {
+    shared: Shared,
+    back_end: BackEndId,
+}
+
+impl RetryBudget for BackEndBudget {
+    fn earn(&mut self, now: Instant) {
+        let share = self.shared.settings.limits.retry_share;
+        self.shared.write().budget(&self.back_end, share).record_first(now);
+    }
+
+    fn spend(&mut self, now: Instant) -> bool {
+        let share = self.shared.settings.limits.retry_share;
+        self.shared.write().budget(&self.back_end, share).take(now)
+    }
+}
+
+impl<D: Dialect<Load = LoadSample> + 'static> Gateway for RouterGateway<D> {
+    /// What exceeds a limit or the admitted share is refused before its body is read.
+    const ADMITS_BEFORE_BODY: bool = true;
+
+    type Dialect = D;
+    type Credit = CreditGuard;
+    type Guard = AttemptGuard;
+    type ConnectionPermit = ();
+    type Budget = BackEndBudget;
+
+    fn dialect(&self) -> &D {
+        &self.dialect
+    }
+
+    fn now(&self) -> Instant {
+        self.shared.now()
+    }
+
+    async fn resolve(&self, head: &RequestHead<'_>) -> Result<Call, Refusal> {
+        let received_at = self.now();
+        confirmation_wait::wait(&self.shared).await;
+        self.decide(head, received_at)
+    }
 
     fn check_fingerprint(
         &self,
@@ -273,6 +285,8 @@
         call: &Call,
         tried: &[TargetId],
     ) -> Result<AssignedTarget<AttemptGuard>, Reason> {
+        // The target must be one that the current data allow, also after a wait of this process.
+        confirmation_wait::wait(&self.shared).await;
         let may_send = tried.is_empty()
             || room_at_targets::may_send_again(&mut self.shared.write(), self.now(), call);
         if !may_send {
--- a/crates/router/src/log_lines.rs
+++ b/crates/router/src/log_lines.rs
@@ -59,7 +59,8 @@
         .field("elapsed_ms", now.saturating_since(call.received_at).as_millis())
         .field("left_ms", call.deadline.saturating_since(now).as_millis())
         .field("decided_version", call.config.version)
-        .field("decided_age_ms", call.config.age.as_millis());
+        .field("decided_age_ms", call.config.age.as_millis())
+        .field("decided_after_ms", call.config.waited.as_millis());
     with_inputs(event, state, now)
 }
 
--- a/crates/router/src/row_source.rs
+++ b/crates/router/src/row_source.rs
@@ -147,6 +147,7 @@
         .field("store_age_ms", state.source.age(now).as_millis())
         .info();
     state.source.record_peer_failure(now, peer, failure);
+    state.decision_gate.record_failure(now);
 }
 
 fn known_versions<S: SiteDecoder>(shared: &Shared) -> KnownVersions {
@@ -175,6 +176,7 @@
     match rows.can_relay {
         true => {
             shared.write().source.record_relayed(call.peer, up_to, rows.designated_origin);
+            shared.data_confirmed.notify_waiters();
         }
         false => record_peer_failure(shared, call.peer, PeerFailure::Stale),
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -24,6 +24,7 @@
 use crate::NodeAddress;
 use crate::boot_clock::BootClock;
 use crate::change_source::ChangeSource;
+use crate::decision_gate::{Confirmation, DecisionGate};
 use crate::granters::Granters;
 use crate::leader_lease::LeaderLease;
 use crate::leader_view::LeaderView;
@@ -110,6 +111,8 @@
     pub(crate) tables_confirmed_to: SortedVec<&'static str, Instant>,
     /// Where this node gets changes, and the age of its data.
     pub(crate) source: ChangeSource,
+    /// Whether requests may be decided by this node's data.
+    pub(crate) decision_gate: DecisionGate,
     /// The table whose feed is retried while the store is unreachable; `None` while it answers.
     pub(crate) store_down: Option<&'static str>,
     /// When requests that arrive during the shutdown must be answered; `None` unless this process
@@ -129,6 +132,8 @@
     state: RefCell<RouterState>,
     /// Notified when rows change, and when this node can no longer relay changes.
     pub(crate) routes_changed: Notify,
+    /// Notified when a source has confirmed this node's data, or requests no longer wait for that.
+    pub(crate) data_confirmed: Notify,
     /// Notified when the grant loop has something to do.
     pub(crate) assigner_due: Notify,
 }
@@ -190,6 +195,7 @@
             leader_renewal_overdue: false,
             tables_confirmed_to: SortedVec::new(),
             source,
+            decision_gate: DecisionGate::new(settings.apply_time),
             store_down: None,
             shutdown_deadline: None,
             rollouts: settings.rollouts.map(Rollouts::new),
@@ -202,6 +208,7 @@
             clock,
             state: RefCell::new(state),
             routes_changed: Notify::new(),
+            data_confirmed: Notify::new(),
             assigner_due: Notify::new(),
         })
     }
@@ -244,6 +251,15 @@
         !self.is_stopping() && self.config.is_some()
     }
 
+    /// Returns whether requests may be decided by this node's data. A node without a configuration
+    /// refuses requests at once.
+    pub(crate) fn confirmation(&mut self, now: Instant) -> Confirmation {
+        match &self.config {
+            Some(_) => self.decision_gate.check(now, self.source.age(now)),
+            None => Confirmation::Current,
+        }
+    }
+
     /// Counts a request on a key.
     pub(crate) fn count_key(&mut self, back_end: &BackEndId, key: ShardKey, priority: Priority) {
         let counts = self.key_counts.get_or_insert_with(back_end.clone(), Default::default);
