Pass confirmations on at once, and call the store when data are 1.2 s old

Cause: a node without changes to send held a call for 0.4 s whatever it knew, so the age of data grew by 0.4 s on each of three hops, to 1.3 s on a quiet site. A node called the store itself only once its data were 1.6 s old, which leaves 0.4 s of the time in which a change must be in force. Change: a call states the age of the caller's data, and is answered as soon as the called node's data are younger by 0.2 s, so a confirmation of the store passes all hops at once. Nodes call the store when their data are 1.2 s old, and without a wait. Calls between nodes have one more field.

--- a/crates/router/src/change_source.rs
+++ b/crates/router/src/change_source.rs
@@ -14,9 +14,9 @@
 /// gets an answer from the store at least every 0.6 s, and a relay from the leader every 0.4 s.
 const FRESH_AGE_MAX: Duration = Duration::from_millis(1_100);
 
-/// A node whose data are older than this calls the store itself. A relay answers every 0.4 s, and a
-/// change must be in force within two seconds.
-const STORE_FALLBACK_AGE: Duration = Duration::from_millis(1_600);
+/// A node whose data are older than this calls the store itself. The store confirms the leader's data
+/// every 0.4 s, each confirmation is passed on at once, and requests wait once the data are 1.5 s old.
+const STORE_FALLBACK_AGE: Duration = Duration::from_millis(1_200);
 
 /// Replaces `STORE_FALLBACK_AGE` on a node whose calls to other nodes failed: none of them will
 /// relay a change in time.
@@ -43,6 +43,10 @@
 /// unreachable for all of them.
 const PEER_FAILURES_SITE_WIDE: u32 = 30;
 
+/// A node answers a call without changes once its data are younger than the caller's by this much.
+/// Smaller differences would cost answers and not help the caller.
+const CONFIRMATION_GAIN_MIN: Duration = Duration::from_millis(200);
+
 /// Hash key of the rendezvous hash by which the nodes of a zone agree on their relay.
 const RELAY_HASH_KEY: &[u8] = b"relay";
 
@@ -163,6 +167,12 @@
         self.is_fresh(now) && source_works
     }
 
+    /// Returns whether an answer of this node makes the data of a caller younger by so much that it
+    /// must not wait for a change. `caller_age` is the present age of the caller's data.
+    pub fn confirms_newer(&self, now: Instant, caller_age: Duration) -> bool {
+        caller_age >= self.age(now).saturating_add(CONFIRMATION_GAIN_MIN)
+    }
+
     /// Returns whether this node must follow the store itself.
     pub fn follows_store(&self, now: Instant, leader: LeaderView) -> bool {
         let leader_fails = match leader.address {
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -146,10 +146,13 @@
 }
 
 /// Returns how long a feed call waits for changes. A node that starts to follow the store again
-/// does not wait: others rely on its data as soon as the store has answered for each table.
+/// does not wait, nor does one with old data: others, and requests, wait until the store has answered
+/// for each table.
 fn feed_wait(shared: &Shared, table: &str, wait: Duration) -> Duration {
-    let confirmed_to = shared.read().tables_confirmed_to.get(table).copied().unwrap_or_default();
-    match shared.now().saturating_since(confirmed_to) > wait + RESTART_MARGIN {
+    let (now, state) = (shared.now(), shared.read());
+    let confirmed_to = state.tables_confirmed_to.get(table).copied().unwrap_or_default();
+    let restarts = now.saturating_since(confirmed_to) > wait + RESTART_MARGIN;
+    match restarts || state.source.is_cut_off(now) {
         true => Duration::ZERO,
         false => wait,
     }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -82,12 +82,14 @@
     pub(crate) room: RoomReply,
 }
 
-/// Versions up to which a node has the tables of the store.
+/// Versions up to which a node has the tables of the store, and their age.
 #[value]
 pub(crate) struct KnownVersions {
     pub(crate) operators: RowVersion,
     pub(crate) targets: RowVersion,
     pub(crate) ranges: RowVersion,
+    /// Age of the calling node's data when it called.
+    pub(crate) age: Duration,
 }
 
 /// Rows that are newer than the caller's versions.
@@ -127,7 +129,7 @@
 pub(crate) trait RouterPeer {
     /// Reports load and demand to the leader; another node answers that it does not lead.
     async fn report(report: NodeReport) -> Result<LeaderReply, Stopping>;
-    /// Returns the rows of the store that the caller does not have. Waits for a change if there are
-    /// none, for a limited time.
+    /// Returns the rows of the store that the caller does not have. If there are none, waits for a
+    /// limited time for a change, or until the called node's data are younger than the caller's.
     async fn rows(known: KnownVersions) -> Result<MissingRows, Stopping>;
 }
--- a/crates/router/src/row_cache.rs
+++ b/crates/router/src/row_cache.rs
@@ -92,6 +92,9 @@
         let Some(cached_table) = self.tables.get(table) else {
             return CompressedPage { rows: Vec::new(), version: after };
         };
+        if cached_table.version <= after {
+            return CompressedPage { rows: Vec::new(), version: cached_table.version };
+        }
         let rows = cached_table.rows.values().filter(|row| row.version > after).cloned().collect();
         CompressedPage { rows, version: cached_table.version }
     }
--- a/crates/router/src/row_source.rs
+++ b/crates/router/src/row_source.rs
@@ -151,8 +151,10 @@
 }
 
 fn known_versions<S: SiteDecoder>(shared: &Shared) -> KnownVersions {
+    let now = shared.now();
     let state = shared.read();
     KnownVersions {
+        age: state.source.age(now),
         operators: state.rows.version(S::OPERATOR_TABLE),
         targets: state.rows.version(S::TARGET_TABLE),
         ranges: state.rows.version(RANGES_TABLE),
@@ -193,7 +195,8 @@
     }
 }
 
-/// Answers a node's call as soon as there are changes for it, or `RELAY_WAIT` has passed.
+/// Answers a node's call as soon as there are changes for it, its data can be confirmed, or
+/// `RELAY_WAIT` has passed.
 pub(crate) fn answer<S: SiteDecoder>(
     shared: &Shared,
     known: KnownVersions,
@@ -202,16 +205,25 @@
     let shared = Rc::clone(shared);
     let received = shared.now();
     spawn_local(async move {
-        let changed = shared.routes_changed.notified();
-        let mut missing = missing_rows::<S>(&shared, &known);
-        if missing.is_empty() && missing.can_relay {
-            // If nothing changes within the wait, the answer has no rows.
-            drop(timeout(RELAY_WAIT, changed).await);
-            missing = missing_rows::<S>(&shared, &known);
-        }
-        missing.waited = shared.now().saturating_since(received);
+        let answer = loop {
+            let changed = shared.routes_changed.notified();
+            let confirmed = shared.data_confirmed.notified();
+            let missing = missing_rows::<S>(&shared, &known);
+            let (now, waited) = (shared.now(), shared.now().saturating_since(received));
+            let caller_age = known.age.saturating_add(waited);
+            let confirms_newer = shared.read().source.confirms_newer(now, caller_age);
+            let waits = missing.is_empty() && missing.can_relay && !confirms_newer;
+            if !waits || waited >= RELAY_WAIT {
+                break MissingRows { waited, ..missing };
+            }
+            tokio::select! {
+                () = changed => {}
+                () = confirmed => {}
+                () = sleep(RELAY_WAIT - waited) => {}
+            }
+        };
         // Sending fails if the caller has gone.
-        drop(reply.send(missing));
+        drop(reply.send(answer));
     });
 }
 
--- a/crates/router/tests/change_source.rs
+++ b/crates/router/tests/change_source.rs
@@ -18,7 +18,8 @@
 /// Interval between two answers of the store to one node, with the pause after a change.
 const STORE_INTERVAL: Duration = Duration::from_millis(600);
 
-/// A node with fresh data holds a call for this long while nothing changes.
+/// A node with fresh data holds a call for at most this long while nothing changes and its data are
+/// not younger than the caller's.
 const RELAY_WAIT: Duration = Duration::from_millis(400);
 
 /// Pause after several consecutive failures of other nodes.
@@ -106,6 +107,7 @@
     let starts = (0..all.len()).map(|_| now + STEP * random.random_range(0..4));
     let mut call_at: Vec<Instant> = starts.collect();
     let mut store_at = vec![now; all.len()];
+    let mut held_since = vec![None; all.len()];
     for _ in 0..span.as_millis() / STEP.as_millis() {
         now = now + STEP;
         for number in 0..sources.len() {
@@ -124,7 +126,9 @@
                 }
             }
             if now >= call_at[number] {
-                call_at[number] = now + call_peers(now, number, leader, &mut sources, &mut random);
+                let held_since = &mut held_since[number];
+                call_at[number] =
+                    now + call_peers(now, number, leader, held_since, &mut sources, &mut random);
             }
             if reaches {
                 let age = sources[number].age(now);
@@ -143,6 +147,7 @@
     now: Instant,
     number: usize,
     leader: LeaderView,
+    held_since: &mut Option<Instant>,
     sources: &mut [ChangeSource],
     random: &mut ChaCha8Rng,
 ) -> Duration {
@@ -155,13 +160,19 @@
         let called_view = LeaderView { is_self: leader.address == Some(peer), ..leader };
         let (can_relay, age) = (called.can_relay(now, called_view), called.age(now));
         let designated_origin = called.has_designated_origin(called_view);
+        let waits = can_relay && !called.confirms_newer(now, sources[number].age(now));
+        let since = *held_since.get_or_insert(now);
+        if waits && now.saturating_since(since) < RELAY_WAIT {
+            return STEP;
+        }
+        *held_since = None;
         match can_relay {
             true => sources[number].record_relayed(peer, now - age, designated_origin),
             false => sources[number].record_peer_failure(now, peer, PeerFailure::Stale),
         }
     }
     match sources[number].peer_failures() {
-        0 => RELAY_WAIT,
+        0 => STEP,
         1 => FIRST_FAILURE_PAUSE,
         _ => FAILURE_PAUSE,
     }
