Count replies of the leader from when their report was sent

After the process stood still it used them anew, although the leader had stopped to rely on its report and divided the limits among the others. Change: the lifetime counts from the sending of the report, which is before the leader handled it, and a reply that is handled later than the timeout of the call counts as lost. Not measured with a customer above its rate.

--- a/crates/admission/src/customer_limits.rs
+++ b/crates/admission/src/customer_limits.rs
@@ -63,12 +63,12 @@
 
     /// Applies a reply of the issuer: allowances for customers near their limits, and the number of
     /// nodes. Customers without an allowance are well within their limits.
-    pub fn apply_reply(&mut self, now: Instant, allowances: Vec<NodeAllowance>, nodes: u32) {
+    pub fn apply_reply(&mut self, sent_at: Instant, allowances: Vec<NodeAllowance>, nodes: u32) {
         self.allowances = allowances
             .into_iter()
             .map(|allowance| (allowance.customer.clone(), allowance))
             .collect();
-        self.reply_valid_until = now + ReportTiming::REPLY_LIFETIME;
+        self.reply_valid_until = sent_at + ReportTiming::REPLY_LIFETIME;
         self.issuer_has_replied = true;
         self.nodes = nodes.max(1);
         // A new allowance replaces the previous one even if that was not used up. The mode is reset
--- a/crates/admission/src/report_timing.rs
+++ b/crates/admission/src/report_timing.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use wagtailmoor_core::Instant;
+
 /// Interval of reports on a small site, in milliseconds.
 const INTERVAL_MIN_MS: u64 = 150;
 
@@ -44,6 +46,13 @@
     pub const LEADER_TIMEOUT: Duration =
         Duration::from_millis(Self::REPLY_LIFETIME.as_millis() as u64 + TRANSFER_MAX_MS);
 
+    /// Returns whether the reply to a report that was sent at `sent_at` counts, if it is handled at
+    /// `handled_at`. A process that was busy or stood still may handle a reply after its lifetime,
+    /// when the leader has divided the limits among the other nodes.
+    pub fn is_in_time(sent_at: Instant, handled_at: Instant) -> bool {
+        handled_at.saturating_since(sent_at) <= Self::CALL_TIMEOUT
+    }
+
     /// Returns the time between two reports of a node on a site of `nodes` nodes.
     pub fn interval(nodes: usize) -> Duration {
         let by_nodes_ms = INTERVAL_PER_NODE_MS.saturating_mul(nodes as u64);
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -48,13 +48,16 @@
         let used = report.used.clone();
         let reply = match leader {
             None => Some(answer_report(&shared, now, report)),
-            Some(address) => link.report(address, report).await,
+            Some(address) => link
+                .report(address, report)
+                .await
+                .filter(|_| ReportTiming::is_in_time(now, shared.now())),
         };
         if !reply.as_ref().is_some_and(|reply| reply.leads) {
             shared.write().customers.restore_usage(used);
         }
         if let Some(reply) = reply {
-            apply_reply(&shared, reply);
+            apply_reply(&shared, now, reply);
         }
     }
 }
@@ -89,7 +92,9 @@
     }
 }
 
-fn apply_reply(shared: &Shared, reply: LeaderReply) {
+/// Applies the reply to a report that was sent at `sent_at`. The leader counts the lifetime of what it
+/// assigns from when it handled the report, so nodes count from before that.
+fn apply_reply(shared: &Shared, sent_at: Instant, reply: LeaderReply) {
     let now = shared.now();
     let mut state = shared.write();
     state.ledger.merge(now, &reply.suspects.suspects);
@@ -113,8 +118,8 @@
         state.source.set_nodes(nodes);
         state.nodes_version = reply.nodes_version;
     }
-    state.customers.apply_reply(now, reply.allowances, reply.site_nodes);
-    state.admission_gate.replace(now, reply.shares);
+    state.customers.apply_reply(sent_at, reply.allowances, reply.site_nodes);
+    state.admission_gate.replace(sent_at, reply.shares);
     rollouts::apply(&mut state, now, reply.rollouts);
     let RouterState { room, random, .. } = &mut *state;
     room.apply_reply(now, reply.room, random);
