Send the rest of an upload whose target answers early

Cause: the end of the answer was taken for the end of the exchange. The connection went to the pool, which dropped one of its own at once and, on the next request to the same target, a kept one too; with it went the body that was still read from the client. The reset at the close also discarded what the socket's send buffer held.

Change: a connection knows how much of its request's body has been written (transfer.rs). A written body is delivered although the connection is closed; a cancelled or cut one is reset as before. Sessions can have a second client and a second connection to t1, and set the two limits.

Each request with a body on a connection of its own now leaves a socket in TIME-WAIT; the cost was not measured.

--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -4,7 +4,7 @@
 use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -14,6 +14,8 @@
 use snafu::Snafu;
 use tokio::time::{Sleep, sleep, timeout};
 
+use crate::transfer::{BodyGuard, Transfer};
+
 /// Bodies up to this size are buffered, so that an idempotent request can be retried.
 const REPLAY_BUFFER_MAX_BYTES: usize = 64 * 1024;
 
@@ -33,18 +35,48 @@
 pub(crate) type FaultCell = Rc<Cell<Option<ClientFault>>>;
 
 /// A request body as it is sent to a target.
-pub(crate) enum RequestBody {
+pub(crate) struct RequestBody {
+    content: Content,
+    guard: BodyGuard,
+}
+
+enum Content {
     /// Buffered in memory.
     Kept(Full<Bytes>),
     /// Forwarded as it arrives.
     Streamed(StreamedBody),
 }
 
+impl RequestBody {
+    /// Returns a body that is buffered in memory.
+    pub(crate) fn kept(bytes: Bytes, transfer: &Rc<Transfer>) -> Self {
+        Self::new(Content::Kept(bytes.into()), transfer)
+    }
+
+    /// Returns a body that is forwarded as it arrives.
+    pub(crate) fn streamed(body: StreamedBody, transfer: &Rc<Transfer>) -> Self {
+        Self::new(Content::Streamed(body), transfer)
+    }
+
+    fn new(content: Content, transfer: &Rc<Transfer>) -> Self {
+        let guard = transfer.start(!content.is_end_stream());
+        Self { content, guard }
+    }
+
+    /// Returns the streamed body of a request that was not sent.
+    pub(crate) fn into_streamed(self) -> Option<StreamedBody> {
+        match self.content {
+            Content::Streamed(streamed) => Some(streamed),
+            Content::Kept(_) => None,
+        }
+    }
+}
+
 impl std::fmt::Debug for RequestBody {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str(match self {
-            Self::Kept(_) => "Kept",
-            Self::Streamed(_) => "Streamed",
+        formatter.write_str(match self.content {
+            Content::Kept(_) => "Kept",
+            Content::Streamed(_) => "Streamed",
         })
     }
 }
@@ -151,6 +183,30 @@
     }
 }
 
+impl Content {
+    fn poll_data(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, ClientFault>>> {
+        match self {
+            Self::Kept(body) => Pin::new(body).poll_frame(context).map(|next| {
+                next.map(|frame| match frame {
+                    Ok(frame) => Ok(frame.into_data().unwrap_or_default()),
+                    Err(never) => match never {},
+                })
+            }),
+            Self::Streamed(streamed) => match streamed.prefix.take() {
+                Some(bytes) => Poll::Ready(Some(Ok(bytes))),
+                None => streamed.poll_rest(context),
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Kept(body) => body.is_end_stream(),
+            Self::Streamed(streamed) => streamed.prefix.is_none() && streamed.rest.is_end_stream(),
+        }
+    }
+}
+
 impl Body for RequestBody {
     type Data = Bytes;
     type Error = ClientFault;
@@ -159,34 +215,30 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ClientFault>>> {
-        match self.get_mut() {
-            Self::Kept(body) => match Pin::new(body).poll_frame(context) {
-                Poll::Ready(frame) => Poll::Ready(frame.map(|frame| match frame {
-                    Ok(frame) => Ok(frame),
-                    Err(never) => match never {},
-                })),
-                Poll::Pending => Poll::Pending,
-            },
-            Self::Streamed(streamed) => match streamed.prefix.take() {
-                Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-                None => {
-                    streamed.poll_rest(context).map(|next| next.map(|data| data.map(Frame::data)))
+        let this = self.get_mut();
+        let next = ready!(this.content.poll_data(context));
+        match &next {
+            Some(Ok(bytes)) => {
+                this.guard.on_data(bytes.len());
+                // With a known length, hyper does not poll again after the last byte.
+                if this.content.is_end_stream() {
+                    this.guard.on_end();
                 }
-            },
+            }
+            Some(Err(_)) => {}
+            None => this.guard.on_end(),
         }
+        Poll::Ready(next.map(|data| data.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Kept(body) => body.is_end_stream(),
-            Self::Streamed(streamed) => streamed.prefix.is_none() && streamed.rest.is_end_stream(),
-        }
+        self.content.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Kept(body) => body.size_hint(),
-            Self::Streamed(streamed) => {
+        match &self.content {
+            Content::Kept(body) => body.size_hint(),
+            Content::Streamed(streamed) => {
                 let prefix = streamed.prefix.as_ref().map_or(0, Bytes::len) as u64;
                 let rest = streamed.rest.size_hint();
                 let mut hint = SizeHint::new();
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -23,6 +23,7 @@
 use crate::target_body::TargetBody;
 use crate::target_request::TargetRequest;
 use crate::tracked_plan::TrackedPlan;
+use crate::transfer::Transfer;
 
 /// An asynchronous operation of an exchange.
 enum Step<P> {
@@ -161,10 +162,10 @@
         if let Some(credit) = self.credit.take() {
             self.tracked.gateway.spend(credit);
         }
-        let body = self.request_body();
         let io = self.io(attempt);
         let destination = io.destination.clone().expect("an assigned attempt has a destination");
         let connection = io.connection.take().expect("a connected attempt has a connection");
+        let body = self.request_body(connection.transfer());
         let call = &self.tracked.call;
         let head = AttemptHead {
             call,
@@ -179,21 +180,21 @@
         (Some(attempt), Step::Send(attempt, connection, Box::new(request)))
     }
 
-    fn request_body(&mut self) -> RequestBody {
+    fn request_body(&mut self, transfer: &Rc<Transfer>) -> RequestBody {
         match self.body.take() {
             Some(CollectedBody::Complete(bytes)) => {
-                let body = RequestBody::Kept(bytes.clone().into());
+                let body = RequestBody::kept(bytes.clone(), transfer);
                 self.body = Some(CollectedBody::Complete(bytes));
                 body
             }
-            Some(CollectedBody::Partial(streamed)) => RequestBody::Streamed(streamed),
+            Some(CollectedBody::Partial(streamed)) => RequestBody::streamed(streamed, transfer),
             None => unreachable!("the plan sends a streamed body only once"),
         }
     }
 
     /// Keeps the body of a request that was not sent for the next attempt.
     fn take_back(&mut self, body: RequestBody) {
-        if let RequestBody::Streamed(streamed) = body {
+        if let Some(streamed) = body.into_streamed() {
             self.body = Some(CollectedBody::Partial(streamed));
         }
     }
@@ -264,17 +265,17 @@
         let outputs = self.tracked.handle(PlanInput::Head { attempt, head });
         let forwards = outputs.iter().any(|output| matches!(output, PlanOutput::Answer { .. }));
         if !forwards {
-            self.reuse_connection(attempt);
+            self.finish_connection(attempt);
         }
         outputs
     }
 
-    /// Returns the connection of a refused attempt to the pool if its response was read completely.
-    fn reuse_connection(&mut self, attempt: AttemptId) {
+    /// Passes the connection of a refused attempt to the pool if its response was read completely.
+    fn finish_connection(&mut self, attempt: AttemptId) {
         let io = self.io(attempt);
         match (io.response.take(), io.connection.take()) {
             (Some(response), Some(connection)) if response.body().is_complete() => {
-                self.pool.return_idle(connection);
+                self.pool.finish(connection);
             }
             _ => {}
         }
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -2,13 +2,13 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::HeaderMap;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
@@ -17,6 +17,10 @@
 
 use crate::body::RequestBody;
 use crate::headers;
+use crate::remainder_limits::RemainderLimits;
+use crate::remainders::Remainders;
+use crate::target_stream::TargetStream;
+use crate::transfer::Transfer;
 
 /// Idle timeout for targets that state none; shorter than any such target's own idle timeout.
 const IDLE_MAX: Duration = Duration::from_secs(20);
@@ -31,15 +35,19 @@
 /// Response heads are far shorter. The limit bounds the memory that an endless head can use.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
 
+/// The socket of a connection as hyper uses it.
+type TargetIo = TokioIo<MeteredStream<TargetStream>>;
+
 /// A connection to a target with the permit under which it was opened.
 ///
 /// Dropping it closes the socket, so that the target cancels the running request. Only
-/// [`Pool::return_idle`], after an exchange that ended cleanly, keeps it open.
+/// [`Pool::finish`], after an exchange that ended cleanly, keeps it open.
 #[derive(Debug)]
 pub(crate) struct Connection<P> {
     pub(crate) sender: SendRequest<RequestBody>,
     target: SocketAddr,
     task: AbortHandle,
+    transfer: Rc<Transfer>,
     idle_max: Duration,
     /// Whether an earlier exchange on the connection has ended cleanly.
     used: bool,
@@ -56,6 +64,11 @@
         self.used
     }
 
+    /// Returns the state of the latest request's body.
+    pub(crate) fn transfer(&self) -> &Rc<Transfer> {
+        &self.transfer
+    }
+
     /// Sets the idle timeout from the `Keep-Alive` field of a response.
     pub(crate) fn set_idle_timeout(&mut self, fields: &HeaderMap) {
         if let Some(timeout) = headers::keep_alive_timeout(fields) {
@@ -81,15 +94,15 @@
 #[derive(Debug)]
 pub(crate) struct Pool<P> {
     idle: RefCell<SortedVec<SocketAddr, Vec<Idle<P>>>>,
+    remainders: Rc<Remainders>,
+    remainder_limits: RemainderLimits,
 }
 
-impl<P> Default for Pool<P> {
-    fn default() -> Self {
-        Self { idle: RefCell::default() }
+impl<P> Pool<P> {
+    pub(crate) fn new(remainder_limits: RemainderLimits) -> Self {
+        Self { idle: RefCell::default(), remainders: Rc::default(), remainder_limits }
     }
-}
 
-impl<P> Pool<P> {
     /// Removes an idle connection that is still usable, closing those that are not.
     pub(crate) fn take(&self, target: SocketAddr) -> Option<Connection<P>> {
         let mut idle = self.idle.borrow_mut();
@@ -104,7 +117,7 @@
     }
 
     /// Adds a connection whose last exchange ended cleanly, unless it is closed or single-use.
-    pub(crate) fn return_idle(&self, mut connection: Connection<P>) {
+    fn return_idle(&self, mut connection: Connection<P>) {
         if connection.sender.is_closed() || connection.single_use {
             return;
         }
@@ -127,6 +140,40 @@
     }
 }
 
+impl<P: 'static> Pool<P> {
+    /// Takes over a connection whose exchange ended cleanly.
+    ///
+    /// A target may answer before it has read a long body, and read on. The connection then carries
+    /// the remainder of the body and no further request.
+    pub(crate) fn finish(&self, connection: Connection<P>) {
+        connection.transfer.end_exchange();
+        match connection.transfer.is_written() {
+            true => self.return_idle(connection),
+            false => self.send_remainder(connection),
+        }
+    }
+
+    /// Waits until the remainders of all bodies have been sent or their connections are closed.
+    pub(crate) async fn remainders_ended(&self) {
+        self.remainders.ended().await;
+    }
+
+    /// Keeps a connection until the remainder of its request's body was written, within limits on
+    /// time and size, and closes it.
+    fn send_remainder(&self, connection: Connection<P>) {
+        let counted = self.remainders.start();
+        let limits = self.remainder_limits;
+        spawn_local(async move {
+            let transfer = Rc::clone(&connection.transfer);
+            let ended = transfer.remainder_ended(limits.size_max);
+            drop(timeout(limits.timeout, ended).await);
+            drop(connection);
+            transfer.socket_closed().await;
+            drop(counted);
+        });
+    }
+}
+
 /// Opens a connection, or returns `None` if that fails or times out.
 pub(crate) async fn open<P>(
     target: SocketAddr,
@@ -135,20 +182,27 @@
     meter: TrafficMeter,
 ) -> Option<Connection<P>> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target)).await.ok()?.ok()?;
-    stream.set_nodelay(true).ok()?;
-    // Closing resets the connection, so that unsent bytes of a cancelled request are discarded and
-    // cannot arrive after a network partition has healed.
-    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).ok()?;
+    let transfer = Rc::<Transfer>::default();
+    let stream = TargetStream::new(stream, Rc::clone(&transfer)).ok()?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(HEAD_MAX_BYTES);
     let (sender, connection) =
         builder.handshake(TokioIo::new(MeteredStream::new(stream, meter))).await.ok()?;
-    let task = spawn_local(async move {
-        // Errors are returned to the exchange through the sender.
-        drop(connection.await);
-    });
-    let task = task.abort_handle();
-    Some(Connection { sender, target, task, idle_max: IDLE_MAX, used: false, single_use, permit })
+    let task = spawn_local(run(connection, Rc::clone(&transfer))).abort_handle();
+    let (idle_max, used) = (IDLE_MAX, false);
+    Some(Connection { sender, target, task, transfer, idle_max, used, single_use, permit })
+}
+
+/// Runs hyper's side of a connection, then closes the socket.
+async fn run(connection: http1::Connection<TargetIo, RequestBody>, transfer: Rc<Transfer>) {
+    let mut connection = pin!(connection);
+    // Errors are returned to the exchange through the sender.
+    drop(connection.as_mut().await);
+    // A target may announce the end of the connection with its response and not have received the
+    // whole body yet. Whether that is still delivered depends on how the exchange ends.
+    if transfer.is_written() {
+        transfer.exchange_ended().await;
+    }
 }
 
 /// A pool shared by the exchanges of one process.
--- a/crates/front/src/response_body.rs
+++ b/crates/front/src/response_body.rs
@@ -30,7 +30,7 @@
     Done,
 }
 
-/// A connection that is returned to its pool when the exchange ends cleanly.
+/// A connection that is passed back to its pool when the exchange ends cleanly.
 pub(crate) struct PooledConnection<P> {
     pub(crate) pool: SharedPool<P>,
     pub(crate) connection: Option<Connection<P>>,
@@ -44,7 +44,7 @@
     timer: Option<Pin<Box<Sleep>>>,
 }
 
-impl<G: Gateway> ResponseBody<G> {
+impl<G: Gateway + 'static> ResponseBody<G> {
     pub(crate) fn new(
         body: TargetBody,
         connection: PooledConnection<G::ConnectionPermit>,
@@ -74,7 +74,7 @@
     }
 }
 
-impl<G: Gateway> ForwardedResponse<G> {
+impl<G: Gateway + 'static> ForwardedResponse<G> {
     /// Applies the outputs of the plan; returns whether the response must be aborted.
     fn apply(&mut self, outputs: &[PlanOutput]) -> bool {
         let mut truncated = false;
@@ -141,12 +141,12 @@
     fn on_body_end(&mut self) {
         self.tracked.handle(PlanInput::BodyEnded { attempt: self.attempt });
         if let Some(connection) = self.connection.connection.take() {
-            self.connection.pool.return_idle(connection);
+            self.connection.pool.finish(connection);
         }
     }
 }
 
-impl<G: Gateway> Body for ResponseBody<G> {
+impl<G: Gateway + 'static> Body for ResponseBody<G> {
     type Data = Bytes;
     type Error = ResponseTruncated;
 
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -26,8 +26,9 @@
 use crate::exchange::{AdmittedRequest, Exchange};
 use crate::gateway::{Call, Gateway};
 use crate::pipelined_requests::{PipelinedRequests, PipelinedResult};
-use crate::pool::SharedPool;
+use crate::pool::{Pool, SharedPool};
 use crate::refusal::Refusal;
+use crate::remainder_limits::RemainderLimits;
 use crate::response_body::ResponseBody;
 use crate::response_buffers::ResponseBuffers;
 use crate::target_request::TargetRequest;
@@ -93,19 +94,25 @@
         Self {
             gateway,
             limits,
-            pool: SharedPool::default(),
+            pool: Rc::new(Pool::new(RemainderLimits::default())),
             buffers: Rc::default(),
             connections: Rc::default(),
             connection_closed: Rc::default(),
         }
     }
 
+    /// Sets the limits on the remainders of request bodies that targets answer early.
+    pub fn with_remainder_limits(self, limits: RemainderLimits) -> Self {
+        Self { pool: Rc::new(Pool::new(limits)), ..self }
+    }
+
     /// Returns the number of open client connections.
     pub fn connections(&self) -> u32 {
         self.connections.get()
     }
 
-    /// Accepts connections until `stop` turns true, then waits for the open ones to finish.
+    /// Accepts connections until `stop` turns true, then waits for the open ones to finish and for
+    /// the remainders of request bodies that targets answered early.
     pub async fn serve(&self, listener: TcpListener, stop: watch::Receiver<bool>) {
         let mut stopping = stop.clone();
         let mut prune = tokio::time::interval(PRUNE_INTERVAL);
@@ -124,6 +131,7 @@
         while self.connections.get() > 0 {
             self.connection_closed.notified().await;
         }
+        self.pool.remainders_ended().await;
     }
 
     fn accept(&self, stream: TcpStream, stop: watch::Receiver<bool>) {
--- a/crates/front/tests/support/gateway.rs
+++ b/crates/front/tests/support/gateway.rs
@@ -116,8 +116,8 @@
             record_key: head.idempotency_key.map(Into::into),
             shard_key: (head.path == "/on-t2").then(|| ShardKey::new(2)),
             bulk: false,
-            streamed: head.path == "/upload",
-            fresh_connection: head.path == "/fresh-connection",
+            streamed: matches!(head.path, "/upload" | "/fresh-upload"),
+            fresh_connection: matches!(head.path, "/fresh-connection" | "/fresh-upload"),
             plan: PlanSettings {
                 trusts_refusals: true,
                 trusts_misdirected: true,
--- a/crates/front/tests/support/runner.rs
+++ b/crates/front/tests/support/runner.rs
@@ -1,8 +1,9 @@
 //! Runs the steps of a session file and returns the transcript.
 //!
 //! A line without indentation is a step. The indented lines after it are its output: the received
-//! message, or the recorded gateway calls. Steps of `client`, `t1` and `t2` act on the client's
-//! connection and on the connections that the two targets accept. `wait-ms` gives a server with a
+//! message, or the recorded gateway calls. Steps of `client`, `client2`, `t1` and `t2` act on the
+//! clients' connections and on the latest connections that the two targets accepted. `t1-second` is
+//! a further connection that `t1` accepts beside it. `wait-ms` gives a server with a
 //! fault the time to show it; no output depends on its length.
 
 use std::net::SocketAddr;
@@ -13,7 +14,8 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
-use wagtailmoor_front::{FrontLimits, Server};
+use wagtailmoor_core::ByteCount;
+use wagtailmoor_front::{FrontLimits, RemainderLimits, Server};
 
 use super::gateway::ScriptedGateway;
 use super::wire::Wire;
@@ -27,14 +29,14 @@
 
 struct Target {
     listener: TcpListener,
-    connection: Option<Wire>,
+    connections: [Option<Wire>; 2],
 }
 
 struct Session<const EARLY: bool> {
     gateway: Rc<ScriptedGateway<EARLY>>,
     address: SocketAddr,
     targets: Vec<Target>,
-    client: Option<Wire>,
+    clients: [Option<Wire>; 2],
     stop: watch::Sender<bool>,
     serving: JoinHandle<()>,
 }
@@ -63,7 +65,14 @@
         head_timeout: client_timeout,
         body_idle_timeout: client_timeout,
     };
-    let mut session = Session::<EARLY>::start(limits).await;
+    let default = RemainderLimits::default();
+    let remainder_limits = RemainderLimits {
+        timeout: option("remainder-timeout-ms ")
+            .map_or(default.timeout, |ms| Duration::from_millis(ms.parse().unwrap())),
+        size_max: option("remainder-max-bytes ")
+            .map_or(default.size_max, |bytes| ByteCount::new(bytes.parse().unwrap())),
+    };
+    let mut session = Session::<EARLY>::start(limits, remainder_limits).await;
     let mut lines = Vec::new();
     for step in script.lines().filter(|line| !line.starts_with("    ")) {
         lines.push(step.to_owned());
@@ -79,29 +88,33 @@
 }
 
 impl<const EARLY: bool> Session<EARLY> {
-    async fn start(limits: FrontLimits) -> Self {
+    async fn start(limits: FrontLimits, remainder_limits: RemainderLimits) -> Self {
         let mut targets = Vec::new();
         for _ in 0..2 {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            targets.push(Target { listener, connection: None });
+            targets.push(Target { listener, connections: [None, None] });
         }
         let addresses = targets.iter().map(|target| target.listener.local_addr().unwrap());
         let gateway = Rc::new(ScriptedGateway::new(addresses.collect()));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let server = Server::new(Rc::clone(&gateway), limits);
+        let server =
+            Server::new(Rc::clone(&gateway), limits).with_remainder_limits(remainder_limits);
         let (stop, stopping) = watch::channel(false);
         let serving = spawn_local(async move { server.serve(listener, stopping).await });
-        Self { gateway, address, targets, client: None, stop, serving }
+        Self { gateway, address, targets, clients: [None, None], stop, serving }
     }
 
     async fn step(&mut self, step: &str) -> Vec<String> {
         let (verb, rest) = step.split_once(' ').unwrap_or((step, ""));
         match verb {
             "" | "#" | "timeout-ms" | "connections-max" | "run-pipelined-early" => Vec::new(),
-            "client" => self.client(rest).await,
-            "t1" => self.targets[0].step(rest).await,
-            "t2" => self.targets[1].step(rest).await,
+            "remainder-timeout-ms" | "remainder-max-bytes" => Vec::new(),
+            "client" => self.client(0, rest).await,
+            "client2" => self.client(1, rest).await,
+            "t1" => self.targets[0].step(0, rest).await,
+            "t1-second" => self.targets[0].step(1, rest).await,
+            "t2" => self.targets[1].step(0, rest).await,
             "stop" => {
                 self.stop.send_replace(true);
                 Vec::new()
@@ -116,24 +129,25 @@
         }
     }
 
-    async fn client(&mut self, action: &str) -> Vec<String> {
+    async fn client(&mut self, index: usize, action: &str) -> Vec<String> {
+        let client = &mut self.clients[index];
         match action {
             "connect" => {
                 let stream = TcpStream::connect(self.address).await.unwrap();
-                self.client = Some(Wire::new(stream));
+                *client = Some(Wire::new(stream));
                 Vec::new()
             }
             "connect-slow" => {
                 let socket = TcpSocket::new_v4().unwrap();
                 socket.set_recv_buffer_size(SLOW_BUFFER_BYTES).unwrap();
-                self.client = Some(Wire::new(socket.connect(self.address).await.unwrap()));
+                *client = Some(Wire::new(socket.connect(self.address).await.unwrap()));
                 Vec::new()
             }
             "disconnect" => {
-                self.client = None;
+                *client = None;
                 Vec::new()
             }
-            _ => socket_step(self.client.as_mut().expect("a client is connected"), action).await,
+            _ => socket_step(client.as_mut().expect("a client is connected"), action).await,
         }
     }
 
@@ -147,7 +161,7 @@
     }
 
     async fn gateway_calls(&mut self) -> Vec<String> {
-        self.client = None;
+        self.clients = [None, None];
         self.stop.send_replace(true);
         (&mut self.serving).await.unwrap();
         self.gateway.lines()
@@ -155,18 +169,19 @@
 }
 
 impl Target {
-    async fn step(&mut self, action: &str) -> Vec<String> {
+    async fn step(&mut self, index: usize, action: &str) -> Vec<String> {
+        let connection = &mut self.connections[index];
         match action {
             "accept" => {
                 let (stream, _) = self.listener.accept().await.unwrap();
-                self.connection = Some(Wire::new(stream));
+                *connection = Some(Wire::new(stream));
                 Vec::new()
             }
             "close" => {
-                self.connection = None;
+                *connection = None;
                 Vec::new()
             }
-            _ => socket_step(self.connection.as_mut().expect("a connection"), action).await,
+            _ => socket_step(connection.as_mut().expect("a connection"), action).await,
         }
     }
 }
@@ -179,6 +194,7 @@
         "reads" => return wire.read_message(text == "head").await,
         "reads-bytes" => return wire.read_bytes(text.parse().unwrap()).await,
         "reads-eof" => return wire.read_to_end().await,
+        "reads-eof-before" => return wire.read_to_end_before(text.parse().unwrap()).await,
         _ => panic!("unknown action {action}"),
     }
     Vec::new()
--- a/crates/front/tests/support/wire.rs
+++ b/crates/front/tests/support/wire.rs
@@ -55,6 +55,17 @@
         self.show_remaining()
     }
 
+    /// Reads until the peer closes the connection, and shows only whether fewer than `count` bytes
+    /// were received.
+    pub(crate) async fn read_to_end_before(&mut self, count: usize) -> Vec<String> {
+        while self.receive().await {}
+        let received = std::mem::take(&mut self.buffer).len();
+        vec![match received < count {
+            true => format!("(closed before {count} bytes)"),
+            false => format!("({count} bytes or more)"),
+        }]
+    }
+
     fn show_remaining(&mut self) -> Vec<String> {
         let mut lines = format_message(&std::mem::take(&mut self.buffer));
         lines.push("(closed)".to_owned());
