Derive what all routes decide once for each version

Cause: SiteConfig::streams_requests, objective and longest_timeout searched all routes at each call. A host without load control calls the first for every request, its own reports and, on the leader, every tick; the leader calls the second for every back end. Keys of customers were inserted one by one in random order, which moves half of the entries each time.

Change: SiteConfig::new computes these values, and sorts elements before it inserts them. The last of equal elements is still in force.

--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -12,6 +12,7 @@
 mod registry;
 mod route_match;
 mod route_rule;
+mod route_times;
 mod site_config;
 mod target;
 mod unusable_elements;
--- a/crates/site/src/site_config.rs
+++ b/crates/site/src/site_config.rs
@@ -5,6 +5,7 @@
 
 use wagtailmoor_core::{BackEndId, ConfigVersion, CustomerId, KeyDigest, SortedVec};
 
+use crate::route_times::RouteTimes;
 use crate::{
     BackEndRule, ClientLimits, CustomerRule, ElementKind, KeyMatch, RouteMatch, RouteRule,
     UnusableElements, UnusableReport,
@@ -16,6 +17,8 @@
     version: ConfigVersion,
     /// Routes, sorted by host and prefix.
     routes: Vec<RouteRule>,
+    route_times: SortedVec<BackEndId, RouteTimes>,
+    streams_requests: bool,
     back_ends: SortedVec<BackEndId, BackEndRule>,
     customers: SortedVec<CustomerId, CustomerRule>,
     keys: SortedVec<KeyDigest, CustomerId>,
@@ -40,14 +43,27 @@
         limits: ClientLimits,
     ) -> Self {
         routes.sort_by(|left, right| (&left.host, &left.prefix).cmp(&(&right.host, &right.prefix)));
+        let route_times = times_by_back_end(&routes);
+        let streams_requests = routes.iter().any(|route| route.streamed);
         let keys = customers
             .iter()
-            .flat_map(|(rule, keys)| keys.iter().map(|key| (*key, rule.customer.clone())))
-            .collect();
-        let customers =
-            customers.into_iter().map(|(rule, _)| (rule.customer.clone(), rule)).collect();
-        let back_ends = back_ends.into_iter().map(|rule| (rule.back_end.clone(), rule)).collect();
-        Self { version, routes, back_ends, customers, keys, limits, ..Self::default() }
+            .flat_map(|(rule, keys)| keys.iter().map(|key| (*key, rule.customer.clone())));
+        let keys = collect_sorted(keys);
+        let customers = customers.into_iter().map(|(rule, _)| (rule.customer.clone(), rule));
+        let customers = collect_sorted(customers);
+        let back_ends = back_ends.into_iter().map(|rule| (rule.back_end.clone(), rule));
+        let back_ends = collect_sorted(back_ends);
+        Self {
+            version,
+            routes,
+            route_times,
+            streams_requests,
+            back_ends,
+            customers,
+            keys,
+            limits,
+            ..Self::default()
+        }
     }
 
     /// Adds the elements that could not be used. They take precedence over usable elements of the
@@ -57,9 +73,11 @@
         unusable_routes.sort();
         let mut config = Self {
             unusable_routes,
-            unusable_back_ends: unusable.back_ends.into_iter().map(|name| (name, ())).collect(),
+            unusable_back_ends: collect_sorted(
+                unusable.back_ends.into_iter().map(|name| (name, ())),
+            ),
             unnamed_back_ends: unusable.unnamed_back_ends,
-            unusable_keys: unusable.keys.into_iter().map(|key| (key, ())).collect(),
+            unusable_keys: collect_sorted(unusable.keys.into_iter().map(|key| (key, ()))),
             unread_keys: unusable.unread_keys,
             unread_customers: unusable.unread_customers,
             report: unusable.report,
@@ -115,21 +133,17 @@
 
     /// Returns the shortest objective among the routes to a back end.
     pub fn objective(&self, back_end: &BackEndId) -> Option<Duration> {
-        let leads_to =
-            |route: &&RouteRule| route.split.iter().any(|part| part.back_end == *back_end);
-        self.routes.iter().filter(leads_to).map(|route| route.objective).min()
+        self.route_times.get(back_end).map(|times| times.shortest_objective)
     }
 
     /// Returns whether a route streams the bodies of its requests to targets, as for uploads.
     pub fn streams_requests(&self) -> bool {
-        self.routes.iter().any(|route| route.streamed)
+        self.streams_requests
     }
 
     /// Returns the longest timeout among the routes to a back end; zero without routes.
     pub fn longest_timeout(&self, back_end: &BackEndId) -> Duration {
-        let leads_to =
-            |route: &&RouteRule| route.split.iter().any(|part| part.back_end == *back_end);
-        self.routes.iter().filter(leads_to).map(|route| route.timeout).max().unwrap_or_default()
+        self.route_times.get(back_end).map(|times| times.longest_timeout).unwrap_or_default()
     }
 
     /// Finds the customer that holds a key.
@@ -187,3 +201,23 @@
         self.customers.values()
     }
 }
+
+fn times_by_back_end(routes: &[RouteRule]) -> SortedVec<BackEndId, RouteTimes> {
+    let mut times = SortedVec::new();
+    for route in routes {
+        for part in &route.split {
+            times
+                .get_or_insert_with(part.back_end.clone(), || RouteTimes::of(route))
+                .include(route);
+        }
+    }
+    times
+}
+
+/// Collects entries in any order, of which the last one for a key counts. Insertion in key order
+/// moves no other entry, so that the time does not grow with the square of their number.
+fn collect_sorted<K: Ord, V>(entries: impl Iterator<Item = (K, V)>) -> SortedVec<K, V> {
+    let mut entries: Vec<(K, V)> = entries.collect();
+    entries.sort_by(|(left, _), (right, _)| left.cmp(right));
+    entries.into_iter().collect()
+}
