--- a/crates/site/src/site_config.rs
+++ b/crates/site/src/site_config.rs
@@ -16,7 +16,7 @@
 pub struct SiteConfig {
     version: ConfigVersion,
     /// Routes, sorted by host and prefix.
-    routes: Vec<RouteRule>,
+    routes: Vec<Arc<RouteRule>>,
     route_times: SortedVec<BackEndId, RouteTimes>,
     streams_requests: bool,
     back_ends: SortedVec<BackEndId, BackEndRule>,
@@ -34,10 +34,10 @@
 }
 
 impl SiteConfig {
-    /// Creates a configuration.
+    /// Creates a configuration. Versions share the routes that do not change.
     pub fn new(
         version: ConfigVersion,
-        mut routes: Vec<RouteRule>,
+        mut routes: Vec<Arc<RouteRule>>,
         back_ends: Vec<BackEndRule>,
         customers: Vec<(CustomerRule, Vec<KeyDigest>)>,
         limits: ClientLimits,
@@ -202,7 +202,7 @@
     }
 }
 
-fn times_by_back_end(routes: &[RouteRule]) -> SortedVec<BackEndId, RouteTimes> {
+fn times_by_back_end(routes: &[Arc<RouteRule>]) -> SortedVec<BackEndId, RouteTimes> {
     let mut times = SortedVec::new();
     for route in routes {
         for part in &route.split {
--- a/crates/site/tests/site_config.rs
+++ b/crates/site/tests/site_config.rs
@@ -1,6 +1,7 @@
 //! Tests of what a configuration derives from all of its routes, and of elements that are given
 //! more than once.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rstest::rstest;
@@ -57,6 +58,7 @@
     customers: Vec<(CustomerRule, Vec<KeyDigest>)>,
 ) -> SiteConfig {
     let version = ConfigVersion::new(1);
+    let routes = routes.into_iter().map(Arc::new).collect();
     SiteConfig::new(version, routes, back_ends, customers, ClientLimits::default())
 }
 
