Send a listing where removals are unknown

Cause, by reading: a node that read a table in full, after its start or after the store had discarded its history, doesn't know which rows were removed before. A node with older rows that took the changes from it got no word of these removals, and counted as up to date: a target that had left stayed in use, a zone stayed out of service. Change: a cache knows from which version on it is complete, and between which versions it may have missed removals (VersionGap), also of the nodes it gets rows from. A caller from before gets a listing, and removes what it lacks. The full read of the store takes the same path.

--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -11,9 +11,7 @@
 use wagtailmoor_ranges::AssignmentTable;
 use wagtailmoor_rollout::RolloutRow;
 use wagtailmoor_site::{ElementKind, RegistryChange, UnusableReport};
-use wagtailmoor_store::{
-    ChangeFeed, CompressedPage, CompressedRow, FeedError, FeedPage, FeedRow, StoredRow,
-};
+use wagtailmoor_store::{ChangeFeed, CompressedPage, CompressedRow, FeedError, FeedRow, StoredRow};
 use wagtailmoor_telemetry::Event;
 
 use crate::AnswerClock;
@@ -117,12 +115,13 @@
                 let received_at = shared.now();
                 let as_of = clock.date(sent_at, received_at, page.store_time);
                 let origin = RowOrigin { source: RowSource::Store, as_of, received_at };
-                if after.is_none() {
-                    drop_missing(&shared, &*decoder, table, origin, &page);
-                }
-                after = Some(page.version);
                 let changed = !page.rows.is_empty();
-                apply(&shared, &*decoder, table, origin, CompressedPage::compress(page));
+                let page = match after {
+                    None => CompressedPage::compress_listing(page),
+                    Some(_) => CompressedPage::compress(page),
+                };
+                after = Some(page.version);
+                apply(&shared, &*decoder, table, origin, page);
                 record_answer::<S>(&shared, table, as_of);
                 sleep(if changed { change_pause } else { EMPTY_PAUSE }).await;
             }
@@ -238,18 +237,6 @@
     Event::new("store-regained").field("table", table).field("away_ms", outage_ms).info();
 }
 
-/// Applies the removal of rows that a full read does not list.
-fn drop_missing<S: SiteDecoder>(
-    shared: &Shared,
-    decoder: &S,
-    table: &str,
-    origin: RowOrigin,
-    listed: &FeedPage,
-) {
-    let missing = shared.read().rows.missing(table, listed);
-    apply(shared, decoder, table, origin, missing);
-}
-
 /// Applies rows of a table, from the store or from another node.
 pub(crate) fn apply<S: SiteDecoder>(
     shared: &Shared,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -59,6 +59,7 @@
 };
 pub use peer_failure::PeerFailure;
 pub use router::{Router, StartError, start};
+pub use row_cache::RowCache;
 pub use site_decoder::{OperatorChange, SiteDecoder, UnusableRow};
 pub use target_control::{GrantCall, ReleaseCall, TargetControl};
 pub use wagtailmoor_rollout::{RolloutOrder, RolloutSettings, RolloutState, RolloutStatus};
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -113,7 +113,7 @@
 impl MissingRows {
     /// Returns whether the caller has all rows.
     pub(crate) fn is_empty(&self) -> bool {
-        [&self.operators, &self.targets, &self.ranges].iter().all(|page| page.rows.is_empty())
+        [&self.operators, &self.targets, &self.ranges].iter().all(|page| page.is_empty())
     }
 }
 
--- a/crates/router/src/row_cache.rs
+++ b/crates/router/src/row_cache.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use wagtailmoor_core::{Instant, RowVersion, SortedVec, StoreEra};
-use wagtailmoor_store::{CompressedPage, CompressedRow, FeedPage};
+use wagtailmoor_store::{CompressedPage, CompressedRow, VersionGap};
 
 use crate::restored_rows::RestoredRows;
 
@@ -12,6 +12,12 @@
 struct CachedTable {
     rows: SortedVec<Arc<str>, CompressedRow>,
     version: RowVersion,
+    /// The version before it was reset, until the table has been read in full.
+    version_before_reset: Option<RowVersion>,
+    /// Version of the listing with which this cache began. Rows removed before are unknown.
+    complete_from: RowVersion,
+    /// Versions of which this node, or one that it got rows from, does not know all removals.
+    gap: Option<VersionGap>,
     /// Newest era of any merged page.
     era: StoreEra,
     restored: RestoredRows,
@@ -19,22 +25,21 @@
 
 /// The newest rows of the store that this node knows, including removed ones.
 #[derive(Debug, Default)]
-pub(crate) struct RowCache {
+pub struct RowCache {
     tables: SortedVec<Arc<str>, CachedTable>,
 }
 
 impl RowCache {
     /// Merges rows of a table; returns those that are newer than the cached ones and may take effect
     /// now. Rows that went back with the store are returned by [`RowCache::take_due`] later.
-    pub(crate) fn merge(
-        &mut self,
-        now: Instant,
-        table: &str,
-        page: CompressedPage,
-    ) -> Vec<CompressedRow> {
+    pub fn merge(&mut self, now: Instant, table: &str, page: CompressedPage) -> Vec<CompressedRow> {
         let cached_table = self.tables.get_or_insert_with(table.into(), CachedTable::default);
-        cached_table.version = cached_table.version.max(page.version);
-        let mut newer = page.rows;
+        let mut newer = match page.is_listing {
+            true => cached_table.missing_from(&page),
+            false => Vec::new(),
+        };
+        cached_table.record_version(&page);
+        newer.extend(page.rows);
         newer.retain(|row| {
             cached_table.rows.get(&row.key).is_none_or(|cached| cached.version < row.version)
         });
@@ -63,39 +68,74 @@
         due
     }
 
-    /// Returns the cached rows that a full listing does not contain, as removed rows.
-    pub(crate) fn missing(&self, table: &str, listed: &FeedPage) -> CompressedPage {
-        let cached_rows =
-            self.tables.get(table).into_iter().flat_map(|cached_table| cached_table.rows.values());
-        let is_listed = |row: &CompressedRow| listed.rows.iter().any(|other| other.key == row.key);
-        let rows = cached_rows
-            .filter(|row| !row.is_removed() && !is_listed(row))
-            .map(|row| row.removed_at(listed.version))
-            .collect();
-        CompressedPage { rows, version: listed.version }
-    }
-
     /// Returns the version up to which a table is cached; zero if it must be read in full.
-    pub(crate) fn version(&self, table: &str) -> RowVersion {
+    pub fn version(&self, table: &str) -> RowVersion {
         self.tables.get(table).map_or(RowVersion::default(), |cached_table| cached_table.version)
     }
 
     /// Resets the version of a table whose rows must be read in full. The rows stay cached.
-    pub(crate) fn reset_version(&mut self, table: &str) {
+    pub fn reset_version(&mut self, table: &str) {
         if let Some(cached_table) = self.tables.get_mut(table) {
-            cached_table.version = RowVersion::default();
+            let version = std::mem::take(&mut cached_table.version);
+            cached_table.version_before_reset.get_or_insert(version);
+        }
+    }
+
+    /// Returns the rows of a table that changed after a version, or a listing of all rows if some
+    /// removals after that version are unknown.
+    pub fn page(&self, table: &str, after: RowVersion) -> CompressedPage {
+        let no_change =
+            CompressedPage { rows: Vec::new(), version: after, is_listing: false, gap: None };
+        let Some(cached_table) = self.tables.get(table) else { return no_change };
+        let (version, gap) = (cached_table.version, cached_table.gap);
+        if version <= after {
+            return CompressedPage { version, ..no_change };
         }
+        let is_listing = cached_table.lacks_removals_after(after);
+        let is_sent = |row: &&CompressedRow| is_listing || row.version > after;
+        let rows = cached_table.rows.values().filter(is_sent).cloned().collect();
+        CompressedPage { rows, version, is_listing, gap }
+    }
+}
+
+impl CachedTable {
+    /// Returns the cached rows that a listing does not contain, as removed rows.
+    fn missing_from(&self, listing: &CompressedPage) -> Vec<CompressedRow> {
+        let listed = listing.rows.iter().filter(|row| !row.is_removed());
+        let listed: SortedVec<&str, ()> = listed.map(|row| (&*row.key, ())).collect();
+        let is_missing =
+            |row: &&CompressedRow| !row.is_removed() && !listed.contains_key(&&*row.key);
+        let missing = self.rows.values().filter(is_missing);
+        missing.map(|row| row.removed_at(listing.version)).collect()
     }
 
-    /// Returns the rows of a table that changed after a version.
-    pub(crate) fn page(&self, table: &str, after: RowVersion) -> CompressedPage {
-        let Some(cached_table) = self.tables.get(table) else {
-            return CompressedPage { rows: Vec::new(), version: after };
+    /// Records the version of a page, and which removals it leaves unknown.
+    fn record_version(&mut self, page: &CompressedPage) {
+        let before = self.version_before_reset.unwrap_or(self.version);
+        let listed = VersionGap { from: before, to: page.version };
+        let new_gap = match page.is_listing {
+            true if before == RowVersion::default() => {
+                self.complete_from = page.version;
+                None
+            }
+            true => Some(listed).filter(|listed| listed.from < listed.to),
+            false => page.gap,
         };
-        if cached_table.version <= after {
-            return CompressedPage { rows: Vec::new(), version: cached_table.version };
+        self.gap = match (self.gap, new_gap) {
+            (Some(gap), Some(new_gap)) => Some(gap.including(new_gap)),
+            (gap, new_gap) => gap.or(new_gap),
+        };
+        if page.is_listing {
+            self.version_before_reset = None;
         }
-        let rows = cached_table.rows.values().filter(|row| row.version > after).cloned().collect();
-        CompressedPage { rows, version: cached_table.version }
+        self.version = self.version.max(page.version);
+    }
+
+    /// Returns whether rows may have been removed after a version without being cached as removed.
+    fn lacks_removals_after(&self, after: RowVersion) -> bool {
+        // A node without a version may have rows from before its version was reset.
+        after == RowVersion::default()
+            || after < self.complete_from
+            || self.gap.is_some_and(|gap| gap.contains(after))
     }
 }
--- a/crates/store/src/compressed_page.rs
+++ b/crates/store/src/compressed_page.rs
@@ -7,6 +7,7 @@
 
 use crate::change_feed::{FeedPage, FeedRow};
 use crate::compressed_row::CompressedRow;
+use crate::version_gap::VersionGap;
 
 /// The newest version of each changed row, compressed.
 #[value]
@@ -15,9 +16,23 @@
     pub rows: Vec<CompressedRow>,
     /// Version up to which the page contains all changes.
     pub version: RowVersion,
+    /// Whether the page lists all rows of the table, so that a row that it lacks was removed.
+    pub is_listing: bool,
+    /// Versions of which the sender does not know all removals.
+    pub gap: Option<VersionGap>,
 }
 
 impl CompressedPage {
+    /// Compresses a page that lists all rows of the table.
+    pub fn compress_listing(page: FeedPage) -> Self {
+        Self { is_listing: true, ..Self::compress(page) }
+    }
+
+    /// Returns whether a receiver learns nothing from the page.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty() && !self.is_listing
+    }
+
     /// Keeps the newest version of each row and compresses it. A page of the store contains every
     /// version of a row; a burst of large configurations would saturate a slow link.
     pub fn compress(page: FeedPage) -> Self {
@@ -29,6 +44,6 @@
             }
         }
         let rows = newest.into_iter().map(|(_, row)| CompressedRow::compress(row)).collect();
-        Self { rows, version: page.version }
+        Self { rows, version: page.version, is_listing: false, gap: None }
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,6 +17,7 @@
 mod store_error;
 mod stored_row;
 mod table;
+mod version_gap;
 mod wire;
 
 pub use change_feed::{ChangeFeed, FeedError, FeedPage, FeedRow};
@@ -35,4 +36,5 @@
 pub use store_error::StoreError;
 pub use stored_row::StoredRow;
 pub use table::{ConfirmedOutcome, Row, RowWrite, Table, WriteOutcome, write_and_confirm};
+pub use version_gap::VersionGap;
 pub use wire::percent_encode;
