Count the usage of lost reports, and refill for the time that reports cover

What callers saw: targets got up to 716 requests of a customer within 5 s where 567 are allowed (rule QUOTA), if the customer began to send five times its usual traffic while the leader stood still or was replaced.

Cause: Usage in a report that got no answer was dropped. The leader charged accounts for silent nodes only if they were near their limits, so a full account stayed full whatever the nodes admitted until their replies expired, and all nodes admitted freely again afterwards. A node whose replies expired started a full bucket for its equal share besides.

Change: A report states the usage since the last answered one, with its period. The leader counts what is new in it and refills by the node's equal share for the time that the report covers, in place of a refill by its own clock. Charges for silent nodes are returned when these report. A node whose replies end deducts what it admitted above its equal share.

--- a/crates/admission/src/customer_limits.rs
+++ b/crates/admission/src/customer_limits.rs
@@ -7,7 +7,11 @@
 use wagtailmoor_site::CustomerRule;
 
 use crate::limit_settings::LocalLimit;
-use crate::{CustomerUsage, LimitSettings, NodeAllowance, ReportTiming};
+use crate::{CustomerUsage, LimitSettings, NodeAllowance, ReportTiming, UsagePeriod, UsageReport};
+
+/// Upper bound of what a node deducts from its equal share when the replies of the issuer end, as the
+/// time in which the equal share makes up for it.
+const DEDUCTION_MAX: Duration = Duration::from_millis(2_000);
 
 /// How a node admits requests of a customer.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -26,6 +30,8 @@
     mode: Mode,
     arrived: u32,
     admitted: u32,
+    /// Requests admitted, and not refunded, since the last reply of the issuer.
+    since_reply: u32,
 }
 
 /// A node's share of the customers' rate limits.
@@ -35,8 +41,8 @@
     accounts: SortedVec<CustomerId, Account>,
     allowances: SortedVec<CustomerId, NodeAllowance>,
     reply_valid_until: Instant,
-    /// Whether an issuer has replied since this node started.
-    issuer_has_replied: bool,
+    /// Start of the period of the next report.
+    usage_since: Option<Instant>,
     nodes: u32,
 }
 
@@ -49,7 +55,7 @@
             accounts: SortedVec::new(),
             allowances: SortedVec::new(),
             reply_valid_until: Instant::default(),
-            issuer_has_replied: false,
+            usage_since: None,
         }
     }
 
@@ -68,12 +74,13 @@
             .into_iter()
             .map(|allowance| (allowance.customer.clone(), allowance))
             .collect();
+        self.usage_since = Some(sent_at);
         self.reply_valid_until = sent_at + ReportTiming::REPLY_LIFETIME;
-        self.issuer_has_replied = true;
         self.nodes = nodes.max(1);
         // A new allowance replaces the previous one even if that was not used up. The mode is reset
         // so that the next request starts a new bucket.
         for (customer, account) in self.accounts.iter_mut() {
+            account.since_reply = 0;
             if self.allowances.contains_key(customer) {
                 account.mode = Mode::Disconnected;
             }
@@ -89,6 +96,8 @@
         let mode = self.mode(now, &rule.customer);
         let (rate_per_s, _) = self.settings.limit(rule);
         let nodes = f64::from(self.nodes);
+        let replied_at = self.reply_valid_until - ReportTiming::REPLY_LIFETIME;
+        self.usage_since.get_or_insert(now);
         let full_bucket = |limit: LocalLimit| (limit.rate_per_s, limit.burst, None);
         let (rate_per_s, burst, level) = match mode {
             Mode::Independent => full_bucket(self.settings.independent_limit(rule, nodes)),
@@ -103,6 +112,7 @@
             mode,
             arrived: 0,
             admitted: 0,
+            since_reply: 0,
         };
         let account = self.accounts.get_or_insert_with(rule.customer.clone(), new_account);
         account.arrived += 1;
@@ -118,12 +128,22 @@
                 (None, Mode::Allowance { .. }) if mode == Mode::Disconnected => {
                     TokenBucket::empty(now, rate_per_s, burst)
                 }
+                // Requests above the equal share since the last reply are deducted, so that the node
+                // makes up for them.
+                (None, Mode::Independent) if mode == Mode::Disconnected => {
+                    let elapsed = now.saturating_since(replied_at);
+                    let share = rate_per_s * elapsed.as_secs_f64();
+                    let level = burst + share - f64::from(account.since_reply);
+                    let level_min = -rate_per_s * DEDUCTION_MAX.as_secs_f64();
+                    TokenBucket::with_level(now, rate_per_s, burst, level.max(level_min))
+                }
                 (None, _) => TokenBucket::full(now, rate_per_s, burst),
             };
         }
         match account.bucket.take(now, 1.0) {
             true => {
                 account.admitted += 1;
+                account.since_reply = account.since_reply.saturating_add(1);
                 Ok(())
             }
             false => Err(self.retry_delay(rule, mode)),
@@ -135,30 +155,34 @@
         if let Some(account) = self.accounts.get_mut(customer) {
             account.bucket.add(1.0);
             account.admitted = account.admitted.saturating_sub(1);
+            account.since_reply = account.since_reply.saturating_sub(1);
         }
     }
 
-    /// Returns and resets the counts of requests per customer.
-    pub fn take_usage(&mut self) -> Vec<CustomerUsage> {
+    /// Returns and resets the usage since the last report that was answered.
+    pub fn take_usage(&mut self, now: Instant) -> UsageReport {
+        let since = *self.usage_since.get_or_insert(now);
         let accounts = self.accounts.iter_mut();
-        accounts
+        let customers = accounts
             .filter(|(_, account)| account.arrived > 0)
             .map(|(customer, account)| CustomerUsage {
                 customer: customer.clone(),
                 arrived: std::mem::take(&mut account.arrived),
                 admitted: std::mem::take(&mut account.admitted),
             })
-            .collect()
+            .collect();
+        UsageReport { period: UsagePeriod::new(since, now), customers }
     }
 
-    /// Adds counts that could not be reported to an issuer to the next report. This is done only
-    /// until the first reply: after a restart of all nodes they admit requests before there is an
-    /// issuer. Later, the issuer charges the accounts for nodes that do not report.
-    pub fn restore_usage(&mut self, unreported: Vec<CustomerUsage>) {
-        if self.issuer_has_replied {
+    /// Adds usage that could not be reported to an issuer to the next report. Usage of a period longer
+    /// than [`ReportTiming::USAGE_PERIOD_MAX`] is dropped.
+    pub fn restore_usage(&mut self, unreported: UsageReport) {
+        let UsageReport { period, customers } = unreported;
+        if period.duration() > ReportTiming::USAGE_PERIOD_MAX {
+            self.usage_since = Some(period.end());
             return;
         }
-        for CustomerUsage { customer, arrived, admitted } in unreported {
+        for CustomerUsage { customer, arrived, admitted } in customers {
             if let Some(account) = self.accounts.get_mut(&customer) {
                 account.arrived += arrived;
                 account.admitted += admitted;
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -35,6 +35,7 @@
 mod target_picker;
 mod target_speeds;
 mod unanswered_list;
+mod usage_report;
 
 pub use admission_controller::AdmissionController;
 pub use admission_gate::AdmissionGate;
@@ -61,3 +62,4 @@
 pub use target_picker::{PickCriteria, Picked, TargetPicker};
 pub use target_speeds::{TargetObservations, TargetSpeeds};
 pub use unanswered_list::UnansweredGuard;
+pub use usage_report::{UsagePeriod, UsageReport};
--- a/crates/admission/src/limit_issuer.rs
+++ b/crates/admission/src/limit_issuer.rs
@@ -5,7 +5,7 @@
 use wagtailmoor_core::{CustomerId, Instant, NodeId, PartsPerMillion, SortedVec};
 use wagtailmoor_site::CustomerRule;
 
-use crate::{CustomerUsage, LimitSettings, NodeAllowance, ReportTiming};
+use crate::{CustomerUsage, LimitSettings, NodeAllowance, ReportTiming, UsageReport};
 
 /// A node without a report for this long no longer counts as a node of the site and is not listed
 /// to the other nodes.
@@ -41,9 +41,69 @@
     overdue: bool,
     /// Average requests per second by customer.
     demand: SortedVec<CustomerId, f64>,
+    /// The last report that was counted, whether or not its reply arrived.
+    counted: Option<UsageReport>,
+    /// What the accounts were charged when the report became overdue.
+    charged: SortedVec<CustomerId, f64>,
 }
 
 impl Reporter {
+    fn new(now: Instant) -> Self {
+        Self {
+            last_report: now,
+            overdue: false,
+            demand: SortedVec::new(),
+            counted: None,
+            charged: SortedVec::new(),
+        }
+    }
+
+    /// Returns whether a report arrives after a later one that contains it.
+    fn is_outdated(&self, usage: &UsageReport) -> bool {
+        let counted = self.counted.as_ref();
+        counted.is_some_and(|counted| usage.period.is_outdated_by(counted.period))
+    }
+
+    /// Returns the part of a report that was not in earlier ones, with the time that it covers.
+    fn take_new_usage(
+        &mut self,
+        now: Instant,
+        usage: UsageReport,
+    ) -> (Duration, Vec<CustomerUsage>) {
+        let period = usage.period;
+        let counted = self.counted.replace(usage.clone());
+        let Some(counted) = counted.filter(|counted| period.continues(counted.period)) else {
+            // The node has restarted or dropped usage. What it admitted before is unknown, so the
+            // charge stays.
+            self.charged.clear();
+            return (period.duration().min(ReportTiming::USAGE_PERIOD_MAX), usage.customers);
+        };
+        let elapsed = now.saturating_since(self.last_report) + ReportTiming::REPLY_LIFETIME;
+        let covered = period.duration_after(counted.period).min(elapsed);
+        let covered = covered.min(ReportTiming::USAGE_PERIOD_MAX);
+        match period.contains(counted.period) {
+            true => (covered, increments(usage.customers, &counted.customers)),
+            false => (covered, usage.customers),
+        }
+    }
+
+    /// Updates the average demand.
+    fn update_demand(&mut self, now: Instant, used: &[CustomerUsage]) {
+        let elapsed_s = now.saturating_since(self.last_report).as_secs_f64();
+        let time_constant_s = DEMAND_TIME_CONSTANT.as_secs_f64();
+        let factor = (-elapsed_s / time_constant_s).exp();
+        self.last_report = now;
+        self.overdue = false;
+        self.demand.retain(|_, rate| {
+            *rate *= factor;
+            *rate > 0.01
+        });
+        for CustomerUsage { customer, arrived, .. } in used {
+            let rate = self.demand.get_or_insert_with(customer.clone(), || 0.0);
+            *rate += f64::from(*arrived) / time_constant_s;
+        }
+    }
+
     /// Adds the demand to the total. The total is kept up to date with each report, since a sum
     /// over all nodes for each of them takes time that grows with the square of their number.
     fn add_demand(&self, total_demand: &mut SortedVec<CustomerId, f64>) {
@@ -67,7 +127,6 @@
 #[derive(Debug)]
 struct Account {
     level: f64,
-    updated: Instant,
 }
 
 /// Accounts for the customers' rate limits over all nodes.
@@ -129,70 +188,97 @@
         }
     }
 
-    /// Records the requests that a node received and admitted since its last report.
-    pub fn record_usage(&mut self, now: Instant, node: &NodeId, used: &[CustomerUsage]) {
-        let new_entry = || Reporter { last_report: now, overdue: false, demand: SortedVec::new() };
-        let reporter = self.reporters.get_or_insert_with(node.clone(), new_entry);
+    /// Records the requests that a node received and admitted since its last report, and refills the
+    /// accounts by its equal share for the time that the report covers.
+    ///
+    /// So the equal share of a node that does not report is left out of the refill until it reports
+    /// what it admitted meanwhile. The account of a customer near its limit is also charged for what
+    /// such a node may have admitted, until it reports.
+    pub fn record_usage<'c, R: Iterator<Item = &'c CustomerRule>>(
+        &mut self,
+        now: Instant,
+        node: &NodeId,
+        usage: UsageReport,
+        rules: impl Fn() -> R,
+    ) {
+        if self.reporters.get(node).is_some_and(|reporter| reporter.is_outdated(&usage)) {
+            return;
+        }
+        let limited = || rules().filter(|rule| rule.is_limited());
+        self.add_accounts(limited());
+        self.charge_overdue(now, limited());
+        let known = self.reporters.len() + usize::from(!self.reporters.contains_key(node));
+        let nodes = f64::from(self.expected_nodes(now)).max(known as f64);
+        let reporter = self.reporters.get_or_insert_with(node.clone(), || Reporter::new(now));
         if !reporter.overdue {
             reporter.subtract_demand(&mut self.total_demand);
         }
-        let elapsed_s = now.saturating_since(reporter.last_report).as_secs_f64();
-        let time_constant_s = DEMAND_TIME_CONSTANT.as_secs_f64();
-        let factor = (-elapsed_s / time_constant_s).exp();
-        reporter.last_report = now;
-        reporter.overdue = false;
-        reporter.demand.retain(|_, rate| {
-            *rate *= factor;
-            *rate > 0.01
-        });
-        for CustomerUsage { customer, arrived, admitted } in used {
-            let rate = reporter.demand.get_or_insert_with(customer.clone(), || 0.0);
-            *rate += f64::from(*arrived) / time_constant_s;
+        let (covered, used) = reporter.take_new_usage(now, usage);
+        let covered_s = covered.as_secs_f64();
+        for CustomerUsage { customer, admitted, .. } in &used {
             if let Some(account) = self.accounts.get_mut(customer) {
                 account.level -= f64::from(*admitted);
             }
         }
+        for rule in limited() {
+            let (rate_per_s, burst) = self.settings.limit(rule);
+            if let Some(account) = self.accounts.get_mut(&rule.customer) {
+                let returned = reporter.charged.get(&rule.customer).copied().unwrap_or_default();
+                let refill = rate_per_s / nodes * covered_s;
+                account.level = (account.level + refill + returned).min(burst);
+            }
+        }
+        reporter.charged.clear();
+        reporter.update_demand(now, &used);
         reporter.add_demand(&mut self.total_demand);
         self.reporters
             .retain(|_, reporter| now.saturating_since(reporter.last_report) < REPORTER_RETENTION);
     }
 
-    /// Refills the accounts of the customers up to `now`. The equal shares of nodes whose report is
-    /// overdue are omitted from the refill. The account of a customer near its limit is also
-    /// charged for what such nodes may have admitted before they fell back to their equal shares.
-    pub fn refill<'c>(&mut self, now: Instant, rules: impl Iterator<Item = &'c CustomerRule>) {
-        let nodes = self.reporters.len().max(1) as f64;
-        let overdue = self.reporters.values().filter(|reporter| !is_reporting(reporter, now));
-        let refill_ratio = 1.0 - overdue.count() as f64 / nodes;
-        let newly_overdue = self.mark_newly_overdue(now) as f64;
+    /// Adds the missing accounts.
+    fn add_accounts<'c>(&mut self, limited: impl Iterator<Item = &'c CustomerRule>) {
         let start_part = match self.nodes_before {
             0 => FIRST_START_LEVEL_PART,
             _ => START_LEVEL_PART,
         };
-        for rule in rules.filter(|rule| rule.is_limited()) {
-            let (rate_per_s, burst) = self.settings.limit(rule);
-            // A new issuer does not know what was admitted before its term.
-            let new_entry = || Account { level: burst * start_part, updated: now };
-            let account = self.accounts.get_or_insert_with(rule.customer.clone(), new_entry);
-            let elapsed_s = now.saturating_since(account.updated).as_secs_f64();
-            account.level = (account.level + rate_per_s * refill_ratio * elapsed_s).min(burst);
-            account.updated = now;
-            if is_near_limit(account.level, burst) {
-                account.level -= newly_overdue * self.settings.unreported_max(rule, nodes);
-            }
+        for rule in limited {
+            let (_, burst) = self.settings.limit(rule);
+            // A new issuer does not know all that was admitted before its term.
+            let new_entry = || Account { level: burst * start_part };
+            self.accounts.get_or_insert_with(rule.customer.clone(), new_entry);
         }
     }
 
-    /// Marks the nodes whose report became overdue, and returns their number.
-    fn mark_newly_overdue(&mut self, now: Instant) -> usize {
+    /// Takes the demand of nodes whose report became overdue off the total, and charges the accounts
+    /// of customers near their limits for what such nodes may have admitted.
+    fn charge_overdue<'c>(
+        &mut self,
+        now: Instant,
+        limited: impl Iterator<Item = &'c CustomerRule>,
+    ) {
+        let nodes = self.reporters.len().max(1) as f64;
         let overdue = self.reporters.values_mut().filter(|reporter| !is_reporting(reporter, now));
-        let mut count = 0;
-        for reporter in overdue.filter(|reporter| !reporter.overdue) {
+        let mut newly_overdue: Vec<_> = overdue.filter(|reporter| !reporter.overdue).collect();
+        for reporter in &mut newly_overdue {
             reporter.overdue = true;
             reporter.subtract_demand(&mut self.total_demand);
-            count += 1;
         }
-        count
+        if newly_overdue.is_empty() {
+            return;
+        }
+        for rule in limited {
+            let (_, burst) = self.settings.limit(rule);
+            match self.accounts.get_mut(&rule.customer) {
+                Some(account) if is_near_limit(account.level, burst) => {
+                    let charge = self.settings.unreported_max(rule, nodes);
+                    for reporter in &mut newly_overdue {
+                        account.level -= charge;
+                        reporter.charged.insert(rule.customer.clone(), charge);
+                    }
+                }
+                _ => {}
+            }
+        }
     }
 
     /// Returns the allowances of a node for all customers near their limits.
@@ -238,6 +324,18 @@
     }
 }
 
+/// Returns the usage of a period without that of an earlier part of it. Both are sorted by customer.
+fn increments(mut used: Vec<CustomerUsage>, counted: &[CustomerUsage]) -> Vec<CustomerUsage> {
+    for usage in &mut used {
+        let position = counted.binary_search_by(|entry| entry.customer.cmp(&usage.customer));
+        if let Ok(position) = position {
+            usage.arrived = usage.arrived.saturating_sub(counted[position].arrived);
+            usage.admitted = usage.admitted.saturating_sub(counted[position].admitted);
+        }
+    }
+    used
+}
+
 fn is_live(reporter: &Reporter, now: Instant) -> bool {
     now.saturating_since(reporter.last_report) < LIVE_TIMEOUT
 }
--- a/crates/admission/src/node_allowance.rs
+++ b/crates/admission/src/node_allowance.rs
@@ -15,7 +15,7 @@
     pub level: i32,
 }
 
-/// Requests of a customer at one node since the node's last report.
+/// Requests of a customer at one node within the period of a report.
 #[value]
 pub struct CustomerUsage {
     /// Customer that sent the requests.
--- a/crates/admission/src/report_timing.rs
+++ b/crates/admission/src/report_timing.rs
@@ -42,6 +42,10 @@
     pub const REPORT_LIFETIME: Duration =
         Duration::from_millis(Self::REPLY_LIFETIME.as_millis() as u64 + 2 * TRANSFER_MAX_MS);
 
+    /// Longest period of which a node reports the usage of the customers' limits. The windows of
+    /// older requests end soon, and what a report can change at once stays bounded.
+    pub const USAGE_PERIOD_MAX: Duration = Duration::from_millis(4_000);
+
     /// Without a reply for this long, a node that can replace the leader treats it as failed.
     pub const LEADER_TIMEOUT: Duration =
         Duration::from_millis(Self::REPLY_LIFETIME.as_millis() as u64 + TRANSFER_MAX_MS);
--- a/crates/admission/tests/limits.rs
+++ b/crates/admission/tests/limits.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailmoor_admission::{CustomerLimits, LimitIssuer, LimitSettings, ReportTiming};
+use wagtailmoor_admission::{
+    CustomerLimits, CustomerUsage, LimitIssuer, LimitSettings, ReportTiming, UsagePeriod,
+    UsageReport,
+};
 use wagtailmoor_core::{Instant, NodeId, Requests, RequestsPerSecond};
 use wagtailmoor_site::CustomerRule;
 
@@ -89,15 +92,14 @@
             if !(self.steps + offset).is_multiple_of(self.report_steps) {
                 continue;
             }
-            let used = self.nodes[node].take_usage();
+            let used = self.nodes[node].take_usage(self.now);
             if partitioned.contains(&node) {
                 self.nodes[node].restore_usage(used);
                 continue;
             }
-            self.issuer.refill(self.now, [&self.rule].into_iter());
-            self.issuer.record_usage(self.now, &self.names[node], &used);
-            let rules = [&self.rule].into_iter();
-            let allowances = self.issuer.allowances(self.now, &self.names[node], rules);
+            let rules = || [&self.rule].into_iter();
+            self.issuer.record_usage(self.now, &self.names[node], used, rules);
+            let allowances = self.issuer.allowances(self.now, &self.names[node], rules());
             let count = self.issuer.nodes(self.now);
             self.nodes[node].apply_reply(self.now, allowances, count);
         }
@@ -251,7 +253,7 @@
     #[case] rate: u32,
     #[case] burst: u32,
     #[values(300, 1_100, 2_500)] gap_ms: u64,
-    #[values(1, 3)] overload_s: u64,
+    #[values(0, 1, 3)] overload_s: u64,
 ) {
     let mut site = Site::new(nodes, rate, burst, Duration::from_millis(150));
     let even = vec![1; nodes];
@@ -266,3 +268,110 @@
     let (window_max, allowed) = (site.window_max(), site.allowed());
     assert!(f64::from(window_max) <= allowed, "{window_max} of {allowed} in a window");
 }
+
+// Guards against an issuer that stood still while a customer began to send five times its usual
+// traffic: what the nodes admitted before their replies expired was in no report that was answered,
+// so the account was full when the issuer continued.
+#[rstest]
+#[case::small(12, 83, 83)]
+#[case::large(65, 400, 300)]
+fn a_pause_of_the_issuer_stays_within_the_limit(
+    #[case] nodes: usize,
+    #[case] rate: u32,
+    #[case] burst: u32,
+    #[values(600, 1_300, 2_500, 5_000)] pause_ms: u64,
+    #[values(0, 1, 3)] overload_s: u64,
+) {
+    let mut site = Site::new(nodes, rate, burst, Duration::from_millis(150));
+    let even = vec![1; nodes];
+    let all: Vec<usize> = (0..nodes).collect();
+    let usual_per_s = f64::from(rate) / 1.6;
+    site.send(Duration::from_secs(10), usual_per_s, &even, &[]);
+    site.send(Duration::from_secs(overload_s), usual_per_s * 5.0, &even, &[]);
+    site.send(Duration::from_millis(pause_ms), usual_per_s * 5.0, &even, &all);
+    site.send(Duration::from_secs(6), usual_per_s * 5.0, &even, &[]);
+    let (window_max, allowed) = (site.window_max(), site.allowed());
+    assert!(f64::from(window_max) <= allowed, "{window_max} of {allowed} in a window");
+}
+
+// Guards against refusing a customer within its rate after the issuer stood still or was replaced:
+// by usage that is charged without the refill of the same time, or by charges for nodes that did not
+// report that are kept when they do.
+#[rstest]
+fn requests_within_the_limit_pass_after_a_pause(
+    #[values(83, 400)] burst: u32,
+    #[values(0.5, 0.63, 0.8)] part: f64,
+    #[values(600, 1_300, 2_500, 5_000)] pause_ms: u64,
+    #[values(false, true)] replaced: bool,
+) {
+    let mut site = Site::new(12, 83, burst, Duration::from_millis(150));
+    let even = [1; 12];
+    let all: Vec<usize> = (0..12).collect();
+    site.send(Duration::from_secs(10), 83.0 * part, &even, &[]);
+    site.refused = 0;
+    site.send(Duration::from_millis(pause_ms), 83.0 * part, &even, &all);
+    if replaced {
+        site.replace_issuer();
+    }
+    site.send(Duration::from_secs(10), 83.0 * part, &even, &[]);
+    assert_eq!(site.refused, 0);
+}
+
+/// Records a report of one node, which was sent at its end, and returns the level of the account.
+fn record(site: &mut Site, since_ms: u64, until_ms: u64, admitted: u32) -> i32 {
+    let at = |ms: u64| Instant::from_us(ms * 1_000);
+    let (now, node, rule) = (at(until_ms), &site.names[0], &site.rule);
+    let customer = rule.customer.clone();
+    let usage = UsageReport {
+        period: UsagePeriod::new(at(since_ms), at(until_ms)),
+        customers: vec![CustomerUsage { customer, arrived: admitted, admitted }],
+    };
+    site.issuer.record_usage(site.now.max(now), node, usage, || [rule].into_iter());
+    site.now = site.now.max(now);
+    let allowances = site.issuer.allowances(site.now, node, [rule].into_iter());
+    allowances[0].level
+}
+
+// Guards against usage that is counted twice because the reply to a report was lost, the report
+// arrives after a later one, or the node has restarted, and against a refill for time that no report
+// covers. At 104 requests a second, 100 ms refill 10.4.
+#[test]
+fn usage_and_refill_are_counted_once() {
+    let mut site = Site::new(1, 100, 100, Duration::from_millis(150));
+    site.now = Instant::default();
+    assert_eq!(record(&mut site, 1_000, 1_100, 20), 45, "55 at first, less 20");
+    assert_eq!(record(&mut site, 1_000, 1_200, 30), 45, "10 more, the reply was lost");
+    assert_eq!(record(&mut site, 1_000, 1_100, 20), 45, "the first report arrives again");
+    assert_eq!(record(&mut site, 1_200, 1_300, 5), 51, "the reply arrived");
+    assert_eq!(record(&mut site, 1_400, 1_500, 7), 54, "the node has restarted");
+}
+
+// Guards against refunded requests that are deducted from the equal share of a node when the replies
+// of the issuer end.
+#[test]
+fn refunded_requests_do_not_reduce_the_equal_share() {
+    let mut site = Site::new(1, 100, 100, Duration::from_millis(150));
+    let node = &mut site.nodes[0];
+    node.apply_reply(site.now, Vec::new(), 4);
+    for _ in 0..200 {
+        assert_eq!(node.admit(site.now, &site.rule), Ok(()));
+        node.refund(&site.rule.customer);
+    }
+    let expired = site.now + ReportTiming::REPLY_LIFETIME;
+    assert_eq!(node.admit(expired, &site.rule), Ok(()));
+}
+
+// Guards against a node that refuses a customer for as long as its equal share takes to make up for
+// a large burst.
+#[test]
+fn a_burst_before_the_replies_end_is_made_up_for_within_seconds() {
+    let mut site = Site::new(1, 10, 300, Duration::from_millis(150));
+    let node = &mut site.nodes[0];
+    node.apply_reply(site.now, Vec::new(), 12);
+    let admitted = (0..100).filter(|_| node.admit(site.now, &site.rule).is_ok()).count();
+    assert!(admitted > 40, "{admitted} admitted");
+    let expired = site.now + ReportTiming::REPLY_LIFETIME;
+    assert!(node.admit(expired, &site.rule).is_err());
+    let later = expired + Duration::from_secs(4);
+    assert_eq!(node.admit(later, &site.rule), Ok(()));
+}
--- a/crates/limits/src/token_bucket.rs
+++ b/crates/limits/src/token_bucket.rs
@@ -24,7 +24,8 @@
         Self { rate_per_s, burst, level: burst, updated_at: now }
     }
 
-    /// Creates a bucket that holds `level` tokens, at most `burst`.
+    /// Creates a bucket that holds `level` tokens, at most `burst`. A negative level must be refilled
+    /// before tokens can be taken.
     pub fn with_level(now: Instant, rate_per_s: f64, burst: f64, level: f64) -> Self {
         Self { rate_per_s, burst, level: level.min(burst), updated_at: now }
     }
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -4,8 +4,8 @@
 
 use snafu::Snafu;
 use wagtailmoor_admission::{
-    AdmittedShares, BackEndDemand, CustomerUsage, NodeAllowance, RoomReply, RoomReport,
-    TargetObservations,
+    AdmittedShares, BackEndDemand, NodeAllowance, RoomReply, RoomReport, TargetObservations,
+    UsageReport,
 };
 use wagtailmoor_core::{BackEndId, NodeId, Priority, RowVersion, ShardKey};
 use wagtailmoor_derive::value;
@@ -38,8 +38,8 @@
     pub(crate) keys: Vec<KeyCounts>,
     /// Requests for pooled back ends.
     pub(crate) demand: Vec<BackEndDemand>,
-    /// Usage of customers' limits since the last report.
-    pub(crate) used: Vec<CustomerUsage>,
+    /// Usage of customers' limits since the last report that was answered.
+    pub(crate) used: UsageReport,
     /// Requests during which this node lost targets and that the leader has not confirmed yet.
     pub(crate) suspects: Vec<SuspectReport>,
     /// Version of the leader's crash ledger that the reporting node has merged.
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -83,7 +83,7 @@
         can_lead: now.saturating_since(state.store_last_contact) < STORE_CONTACT_AGE_MAX,
         keys,
         demand,
-        used: state.customers.take_usage(),
+        used: state.customers.take_usage(now),
         suspects: state.ledger.unconfirmed_reports(now),
         ledger_version: state.ledger_version,
         service: state.picker.take_observations(),
@@ -178,8 +178,7 @@
             reply.room = answer_room(state, now, &node, &report.room);
         }
         let rules = || state.config.iter().flat_map(|config| config.customers());
-        state.issuer.refill(now, rules());
-        state.issuer.record_usage(now, &node, &report.used);
+        state.issuer.record_usage(now, &node, report.used, rules);
         let previous = state.reporters.insert(node.clone(), report.from.clone());
         state.reporters_changed |= previous.is_none_or(|previous| previous != report.from);
         reply.shares = state.admission.shares(now);
