Refill by late reports only what was admitted in their time

What callers saw: nothing yet; found by a simulated schedule of changes of the leader, cuts and surges.

Cause: Reports that were late, and the first ones that a new issuer gets, brought the refill of up to 4 s at once. What a surge had used before was in the accounts of the old issuer, so the account of the new one rose above the level at which nodes admit freely. Usage was also subtracted before the refill was limited by the burst, so that idle time in a report counted for a surge in the same report.

Change: For time without contact, and before a term, the refill is at most what the node admitted then. The refill is limited by the burst first. What the issuer knows of a node, and the new part of a report, are types of their own files.

--- a/crates/admission/src/limit_issuer.rs
+++ b/crates/admission/src/limit_issuer.rs
@@ -1,21 +1,10 @@
 //! Accounts for the customers' rate limits over all nodes.
 
-use std::time::Duration;
-
 use wagtailmoor_core::{CustomerId, Instant, NodeId, PartsPerMillion, SortedVec};
 use wagtailmoor_site::CustomerRule;
 
-use crate::{CustomerUsage, LimitSettings, NodeAllowance, ReportTiming, UsageReport};
-
-/// A node without a report for this long no longer counts as a node of the site and is not listed
-/// to the other nodes.
-const LIVE_TIMEOUT: Duration = Duration::from_millis(4_000);
-
-/// The state of a node is dropped after this long without a report.
-const REPORTER_RETENTION: Duration = Duration::from_secs(20);
-
-/// Time constant of the average demand.
-const DEMAND_TIME_CONSTANT: Duration = Duration::from_millis(1_000);
+use crate::reporter::{LIVE_TIMEOUT, Reporter};
+use crate::{LimitSettings, NodeAllowance, UsageReport};
 
 /// Part of a limit that is divided equally among the nodes, in percent, so that the first requests
 /// at a node are admitted.
@@ -33,95 +22,6 @@
 /// number of nodes before the term, which is zero.
 const FIRST_START_LEVEL_PART: f64 = 0.5;
 
-#[derive(Debug)]
-struct Reporter {
-    last_report: Instant,
-    /// Whether the report was found to be overdue. The accounts were charged then for requests that
-    /// the node may have admitted since its last report, and its demand was taken off the total.
-    overdue: bool,
-    /// Average requests per second by customer.
-    demand: SortedVec<CustomerId, f64>,
-    /// The last report that was counted, whether or not its reply arrived.
-    counted: Option<UsageReport>,
-    /// What the accounts were charged when the report became overdue.
-    charged: SortedVec<CustomerId, f64>,
-}
-
-impl Reporter {
-    fn new(now: Instant) -> Self {
-        Self {
-            last_report: now,
-            overdue: false,
-            demand: SortedVec::new(),
-            counted: None,
-            charged: SortedVec::new(),
-        }
-    }
-
-    /// Returns whether a report arrives after a later one that contains it.
-    fn is_outdated(&self, usage: &UsageReport) -> bool {
-        let counted = self.counted.as_ref();
-        counted.is_some_and(|counted| usage.period.is_outdated_by(counted.period))
-    }
-
-    /// Returns the part of a report that was not in earlier ones, with the time that it covers.
-    fn take_new_usage(
-        &mut self,
-        now: Instant,
-        usage: UsageReport,
-    ) -> (Duration, Vec<CustomerUsage>) {
-        let period = usage.period;
-        let counted = self.counted.replace(usage.clone());
-        let Some(counted) = counted.filter(|counted| period.continues(counted.period)) else {
-            // The node has restarted or dropped usage. What it admitted before is unknown, so the
-            // charge stays.
-            self.charged.clear();
-            return (period.duration().min(ReportTiming::USAGE_PERIOD_MAX), usage.customers);
-        };
-        let elapsed = now.saturating_since(self.last_report) + ReportTiming::REPLY_LIFETIME;
-        let covered = period.duration_after(counted.period).min(elapsed);
-        let covered = covered.min(ReportTiming::USAGE_PERIOD_MAX);
-        match period.contains(counted.period) {
-            true => (covered, increments(usage.customers, &counted.customers)),
-            false => (covered, usage.customers),
-        }
-    }
-
-    /// Updates the average demand.
-    fn update_demand(&mut self, now: Instant, used: &[CustomerUsage]) {
-        let elapsed_s = now.saturating_since(self.last_report).as_secs_f64();
-        let time_constant_s = DEMAND_TIME_CONSTANT.as_secs_f64();
-        let factor = (-elapsed_s / time_constant_s).exp();
-        self.last_report = now;
-        self.overdue = false;
-        self.demand.retain(|_, rate| {
-            *rate *= factor;
-            *rate > 0.01
-        });
-        for CustomerUsage { customer, arrived, .. } in used {
-            let rate = self.demand.get_or_insert_with(customer.clone(), || 0.0);
-            *rate += f64::from(*arrived) / time_constant_s;
-        }
-    }
-
-    /// Adds the demand to the total. The total is kept up to date with each report, since a sum
-    /// over all nodes for each of them takes time that grows with the square of their number.
-    fn add_demand(&self, total_demand: &mut SortedVec<CustomerId, f64>) {
-        for (customer, rate) in self.demand.iter() {
-            *total_demand.get_or_insert_with(customer.clone(), || 0.0) += rate;
-        }
-    }
-
-    /// Takes the demand off the total.
-    fn subtract_demand(&self, total_demand: &mut SortedVec<CustomerId, f64>) {
-        for (customer, rate) in self.demand.iter() {
-            if let Some(total) = total_demand.get_mut(customer) {
-                *total = (*total - rate).max(0.0);
-            }
-        }
-    }
-}
-
 /// A token bucket over all nodes: the requests that a customer may send at once, refilled at its
 /// rate.
 #[derive(Debug)]
@@ -174,7 +74,7 @@
     /// least the number that the previous issuer knew: a limit that is divided among only the first
     /// few nodes to report would be exceeded.
     pub fn nodes(&self, now: Instant) -> u32 {
-        let live = self.reporters.values().filter(|reporter| is_live(reporter, now)).count();
+        let live = self.reporters.values().filter(|reporter| reporter.is_live(now)).count();
         let live = u32::try_from(live).unwrap_or(u32::MAX);
         live.max(self.expected_nodes(now))
     }
@@ -213,26 +113,20 @@
         if !reporter.overdue {
             reporter.subtract_demand(&mut self.total_demand);
         }
-        let (covered, used) = reporter.take_new_usage(now, usage);
-        let covered_s = covered.as_secs_f64();
-        for CustomerUsage { customer, admitted, .. } in &used {
-            if let Some(account) = self.accounts.get_mut(customer) {
-                account.level -= f64::from(*admitted);
-            }
-        }
+        let used = reporter.take_new_usage(now, usage);
         for rule in limited() {
             let (rate_per_s, burst) = self.settings.limit(rule);
             if let Some(account) = self.accounts.get_mut(&rule.customer) {
                 let returned = reporter.charged.get(&rule.customer).copied().unwrap_or_default();
-                let refill = rate_per_s / nodes * covered_s;
-                account.level = (account.level + refill + returned).min(burst);
+                let admitted = used.admitted(&rule.customer);
+                let refill = used.refill(rate_per_s / nodes, admitted);
+                account.level = (account.level + refill + returned).min(burst) - admitted;
             }
         }
         reporter.charged.clear();
-        reporter.update_demand(now, &used);
+        reporter.update_demand(now, &used.customers);
         reporter.add_demand(&mut self.total_demand);
-        self.reporters
-            .retain(|_, reporter| now.saturating_since(reporter.last_report) < REPORTER_RETENTION);
+        self.reporters.retain(|_, reporter| reporter.is_retained(now));
     }
 
     /// Adds the missing accounts.
@@ -257,7 +151,7 @@
         limited: impl Iterator<Item = &'c CustomerRule>,
     ) {
         let nodes = self.reporters.len().max(1) as f64;
-        let overdue = self.reporters.values_mut().filter(|reporter| !is_reporting(reporter, now));
+        let overdue = self.reporters.values_mut().filter(|reporter| !reporter.is_reporting(now));
         let mut newly_overdue: Vec<_> = overdue.filter(|reporter| !reporter.overdue).collect();
         for reporter in &mut newly_overdue {
             reporter.overdue = true;
@@ -303,11 +197,11 @@
 
     /// Returns whether a node has reported recently enough to count as a node of the site.
     pub fn is_live(&self, now: Instant, node: &NodeId) -> bool {
-        self.reporters.get(node).is_some_and(|reporter| is_live(reporter, now))
+        self.reporters.get(node).is_some_and(|reporter| reporter.is_live(now))
     }
 
     fn share(&self, now: Instant, node: &NodeId, customer: &CustomerId) -> PartsPerMillion {
-        let live = self.reporters.values().filter(|reporter| is_reporting(reporter, now));
+        let live = self.reporters.values().filter(|reporter| reporter.is_reporting(now));
         let reporting = live.count().max(1) as f64;
         // Until all nodes of the previous issuer have reported, the others may have as much demand.
         let live_count = reporting.max(f64::from(self.expected_nodes(now)));
@@ -324,26 +218,6 @@
     }
 }
 
-/// Returns the usage of a period without that of an earlier part of it. Both are sorted by customer.
-fn increments(mut used: Vec<CustomerUsage>, counted: &[CustomerUsage]) -> Vec<CustomerUsage> {
-    for usage in &mut used {
-        let position = counted.binary_search_by(|entry| entry.customer.cmp(&usage.customer));
-        if let Ok(position) = position {
-            usage.arrived = usage.arrived.saturating_sub(counted[position].arrived);
-            usage.admitted = usage.admitted.saturating_sub(counted[position].admitted);
-        }
-    }
-    used
-}
-
-fn is_live(reporter: &Reporter, now: Instant) -> bool {
-    now.saturating_since(reporter.last_report) < LIVE_TIMEOUT
-}
-
-fn is_reporting(reporter: &Reporter, now: Instant) -> bool {
-    now.saturating_since(reporter.last_report) < ReportTiming::REPORT_LIFETIME
-}
-
 fn is_near_limit(level: f64, burst: f64) -> bool {
     level < burst * ALLOWANCE_LEVEL_PERCENT / 100.0
 }
