Let one request check the data that all wait for

Cause: Each request that waited for a confirmation woke every 20 ms. With thousands of them the event loop has no time for the answer that they wait for. A check that began before the process stood still counted the time of the standstill: old data decided after few further turns. Both found by reading.

Change: One request checks, the others wait until it ends, and one of them goes on if its client leaves.

--- a/crates/router/src/confirmation_wait.rs
+++ b/crates/router/src/confirmation_wait.rs
@@ -1,5 +1,6 @@
 //! Waits until the data of this node are confirmed.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::timeout;
@@ -12,14 +13,6 @@
 /// Longest time between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// A source that can be reached confirms the data within this time: a node starts to call the store
-/// within 100 ms, repeats a failed call at once, and the store answers within milliseconds.
-const CONFIRMATION_TIME: Duration = Duration::from_millis(300);
-
-/// Checks before the data count as unconfirmed. Each takes a turn of the event loop at least, so a
-/// process that was busy or stood still handles its answers in between.
-const CHECKS_MIN: u32 = 15;
-
 /// The deadline of a request passed while its node's data were not confirmed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NotConfirmed;
@@ -30,37 +23,68 @@
 ///
 /// `deadline` has passed before.
 pub(crate) async fn wait(shared: &Shared, deadline: Instant) -> Result<(), NotConfirmed> {
-    let started = shared.now();
-    let mut checks = 0;
     loop {
         let confirmed = shared.data_confirmed.notified();
         let now = shared.now();
         if shared.write().confirmation(now) != Confirmation::Pending {
             return Ok(());
         }
-        if checks >= CHECKS_MIN && now >= started + CONFIRMATION_TIME {
-            record_unconfirmed(shared);
-            return Ok(());
-        }
         if now >= deadline {
             return Err(NotConfirmed);
         }
-        checks += 1;
-        // Whether the data were confirmed or not, the next check decides.
-        drop(timeout(CHECK_INTERVAL, confirmed).await);
+        match Checker::claim(shared) {
+            Some(checker) => checker.run(deadline).await,
+            // Whether the data were confirmed or not, the next turn decides.
+            None => drop(timeout(deadline.saturating_since(now), confirmed).await),
+        }
     }
 }
 
-/// Lets the requests of this node be decided by old data while its sources keep failing.
-fn record_unconfirmed(shared: &Shared) {
-    let now = shared.now();
-    let mut state = shared.write();
-    state.decision_gate.record_unconfirmed(now);
-    state.stats.count("data-unconfirmed");
-    Event::new("data-unconfirmed")
-        .field("store_age_ms", state.source.age(now).as_millis())
-        .field("peer_failures", state.source.peer_failures())
-        .warn();
-    drop(state);
-    shared.data_confirmed.notify_waiters();
+/// The one request of this node that checks the data while others wait too. With a timer for each of
+/// thousands of requests, the event loop would have no time for the confirmation.
+struct Checker {
+    shared: Shared,
+}
+
+impl Checker {
+    fn claim(shared: &Shared) -> Option<Self> {
+        let claimed = std::mem::replace(&mut shared.write().data_checked, true);
+        (!claimed).then(|| Self { shared: Rc::clone(shared) })
+    }
+
+    /// Checks the data until they are confirmed, no source of them can be reached, or `deadline` has
+    /// passed.
+    async fn run(self, deadline: Instant) {
+        loop {
+            let confirmed = self.shared.data_confirmed.notified();
+            let now = self.shared.now();
+            let pending = self.shared.write().confirmation(now) == Confirmation::Pending;
+            if !pending || now >= deadline || self.record_check(now) {
+                return;
+            }
+            drop(timeout(CHECK_INTERVAL, confirmed).await);
+        }
+    }
+
+    /// Records a check. Returns whether the requests of this node are decided by old data from now on.
+    fn record_check(&self, now: Instant) -> bool {
+        let mut state = self.shared.write();
+        let in_vain = state.decision_gate.record_check(now);
+        if in_vain {
+            state.stats.count("data-unconfirmed");
+            Event::new("data-unconfirmed")
+                .field("store_age_ms", state.source.age(now).as_millis())
+                .field("peer_failures", state.source.peer_failures())
+                .warn();
+        }
+        in_vain
+    }
+}
+
+impl Drop for Checker {
+    /// Wakes the other requests. One of them goes on with the checks if the data are still pending.
+    fn drop(&mut self) {
+        self.shared.write().data_checked = false;
+        self.shared.data_confirmed.notify_waiters();
+    }
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -113,6 +113,8 @@
     pub(crate) source: ChangeSource,
     /// Whether requests may be decided by this node's data.
     pub(crate) decision_gate: DecisionGate,
+    /// Whether a request checks the data that others wait for.
+    pub(crate) data_checked: bool,
     /// The table whose feed is retried while the store is unreachable; `None` while it answers.
     pub(crate) store_down: Option<&'static str>,
     /// When requests that arrive during the shutdown must be answered; `None` unless this process
@@ -196,6 +198,7 @@
             tables_confirmed_to: SortedVec::new(),
             source,
             decision_gate: DecisionGate::new(settings.apply_time),
+            data_checked: false,
             store_down: None,
             shutdown_deadline: None,
             rollouts: settings.rollouts.map(Rollouts::new),
--- a/crates/router/tests/decision_gate.rs
+++ b/crates/router/tests/decision_gate.rs
@@ -7,12 +7,22 @@
 
 const APPLY_TIME: Duration = Duration::from_secs(2);
 
+/// Interval of checks while requests wait.
+const CHECK_MS: u64 = 20;
+
 const START: Instant = Instant::from_us(100_000_000);
 
 fn at(ms: u64) -> Instant {
     START + Duration::from_millis(ms)
 }
 
+/// Lets a request wait in vain until `START`.
+fn wait_in_vain(gate: &mut DecisionGate) {
+    let until_start_ms = (0..=300).rev().step_by(CHECK_MS as usize);
+    let checks = until_start_ms.map(|ms| gate.record_check(START - Duration::from_millis(ms)));
+    assert_eq!(checks.filter(|in_vain| *in_vain).count(), 1);
+}
+
 fn age(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -40,7 +50,7 @@
 #[test]
 fn a_node_without_a_source_decides_by_old_data_while_its_sources_fail() {
     let mut gate = DecisionGate::new(APPLY_TIME);
-    gate.record_unconfirmed(at(0));
+    wait_in_vain(&mut gate);
     for step in 0..20 {
         let now = at(step * 900);
         assert_eq!(gate.check(now, age(9_000)), Confirmation::Unreachable, "{now:?}");
@@ -53,7 +63,7 @@
 #[test]
 fn a_node_that_stood_still_needs_a_confirmation_again() {
     let mut gate = DecisionGate::new(APPLY_TIME);
-    gate.record_unconfirmed(at(0));
+    wait_in_vain(&mut gate);
     gate.record_failure(at(1_000), at(1_000));
     assert_eq!(gate.check(at(3_500), age(9_000)), Confirmation::Pending);
     // A failure of a call from before doesn't show that no source can be reached now.
@@ -65,7 +75,7 @@
 #[test]
 fn a_confirmation_ends_the_exception() {
     let mut gate = DecisionGate::new(APPLY_TIME);
-    gate.record_unconfirmed(at(0));
+    wait_in_vain(&mut gate);
     assert_eq!(gate.check(at(100), age(20)), Confirmation::Current);
     assert_eq!(gate.check(at(1_700), age(1_620)), Confirmation::Pending);
 }
@@ -85,8 +95,29 @@
 #[test]
 fn a_failure_counts_from_the_sending_of_its_call() {
     let mut gate = DecisionGate::new(APPLY_TIME);
-    gate.record_unconfirmed(at(0));
+    wait_in_vain(&mut gate);
     gate.record_failure(at(1_500), at(400));
     assert_eq!(gate.check(at(2_399), age(9_000)), Confirmation::Unreachable);
     assert_eq!(gate.check(at(2_400), age(9_000)), Confirmation::Pending);
 }
+
+// Guards against a process that stood still while a request waited, and that decides by old data
+// before its sources had a turn.
+#[test]
+fn a_wait_starts_anew_after_the_process_stood_still() {
+    let mut gate = DecisionGate::new(APPLY_TIME);
+    assert!((0..10).all(|check| !gate.record_check(at(check * CHECK_MS))));
+    let resumed_ms = 3_000;
+    assert!((0..15).all(|check| !gate.record_check(at(resumed_ms + check * CHECK_MS))));
+    assert_eq!(gate.check(at(3_300), age(4_000)), Confirmation::Pending);
+    assert!(gate.record_check(at(3_300)));
+    assert_eq!(gate.check(at(3_300), age(4_000)), Confirmation::Unreachable);
+}
+
+// Guards against a process that was busy and counts the time, but not the turns in which its sources
+// could have answered.
+#[test]
+fn few_checks_are_not_in_vain() {
+    let mut gate = DecisionGate::new(APPLY_TIME);
+    assert!((0..10).all(|check| !gate.record_check(at(check * 400))));
+}
