Confirm the data again after a wait for an owner

The data were confirmed before the wait only, so a process that stood still during it chose the target by old data. Found by reading.

Change: The look-up waits for a confirmation after each turn of the wait.

--- a/crates/router/src/target_choice.rs
+++ b/crates/router/src/target_choice.rs
@@ -9,6 +9,7 @@
 use wagtailmoor_rollout::{OwnerUse, VersionClass};
 use wagtailmoor_site::{BackEndRule, Target};
 
+use crate::confirmation_wait::{self, NotConfirmed};
 use crate::state::{RouterState, Shared};
 
 /// A request waits at most this long for a key that has no owner. The keys of a lost target have
@@ -61,6 +62,9 @@
         }
         // Without a change within the interval, the look-up decides.
         drop(timeout(left.min(OWNER_CHECK_INTERVAL), changed).await);
+        // The data may have grown old during the wait.
+        let confirmed = confirmation_wait::wait(shared, call.deadline).await;
+        confirmed.map_err(|NotConfirmed| Reason::NotReady)?;
     }
 }
 
