Wait for changes at a store that states no time

Cause: Answers without a time never became a reference of the AnswerClock, so each call of the feed asked for an answer at once: 50 calls a second for each table. Found by reading. Several comments of the sources of changes named figures that are derived elsewhere, or were out of date.

Change: A clock whose last answer stated no time needs no reference. The comments say what the code does.

Result: an_answer_without_a_time_counts_from_its_call checks it and passes.

--- a/crates/front/src/config_basis.rs
+++ b/crates/front/src/config_basis.rs
@@ -11,6 +11,7 @@
     pub version: ConfigVersion,
     /// Time since the latest instant at which the version was known to be the newest.
     pub age: Duration,
-    /// How long the request waited until the version was known to be current.
+    /// Time from the head of the request to the decision. It includes a wait for a confirmation, also
+    /// one in vain.
     pub waited: Duration,
 }
--- a/crates/router/src/answer_clock.rs
+++ b/crates/router/src/answer_clock.rs
@@ -34,12 +34,17 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AnswerClock {
     reference: Option<Reference>,
+    /// Whether the last answer stated no time.
+    store_has_no_clock: bool,
 }
 
 impl AnswerClock {
     /// Returns whether the next call should not wait for a change, so that its answer is a new
-    /// reference.
+    /// reference. The answers of a store without a clock give none.
     pub fn needs_reference(&self, now: Instant) -> bool {
+        if self.store_has_no_clock {
+            return false;
+        }
         let is_recent = |reference: &Reference| now < reference.sent_at + REFERENCE_LIFETIME;
         self.reference.filter(is_recent).is_none()
     }
@@ -52,6 +57,7 @@
         received_at: Instant,
         store_time: Option<StoreTime>,
     ) -> Instant {
+        self.store_has_no_clock = store_time.is_none();
         let Some(store_time) = store_time else { return sent_at };
         let by_reference = self.reference.and_then(|reference| reference.project(store_time));
         match by_reference {
--- a/crates/router/src/change_source.rs
+++ b/crates/router/src/change_source.rs
@@ -10,19 +10,21 @@
 
 use crate::{LeaderView, NodeAddress, PeerFailure};
 
-/// A node relays changes to others only while its own data are younger than this. The leader
-/// gets an answer from the store at least every 0.6 s, and a relay from the leader every 0.4 s.
+/// A node relays changes to others only while its own data are younger than this. The leader calls the
+/// store again at most 0.2 s after an answer and waits 0.4 s there, and each confirmation is passed
+/// on at once, so older data show that a source is slow or has failed.
 const FRESH_AGE_MAX: Duration = Duration::from_millis(1_100);
 
-/// A node whose data are older than this calls the store itself. The store confirms the leader's data
-/// every 0.4 s, each confirmation is passed on at once, and requests wait once the data are 1.5 s old.
+/// A node whose data are older than this calls the store itself. This is above the age that data reach
+/// while all sources work, and leaves time for a call before requests wait for a confirmation
+/// (`DecisionGate::age_max`).
 const STORE_FALLBACK_AGE: Duration = Duration::from_millis(1_200);
 
 /// The fallback of a node begins up to this much later, so that hundreds of nodes with one source do
 /// not all call the store when it fails.
 const STORE_FALLBACK_SPREAD_MS: u64 = 200;
 
-/// Data that were old for this long while other nodes failed show an outage of the store.
+/// While other nodes fail too, data older than this show an outage of the store.
 const OUTAGE_AGE: Duration = Duration::from_millis(1_600);
 
 /// Replaces `STORE_FALLBACK_AGE` on a node whose calls to other nodes failed: none of them will
@@ -78,7 +80,7 @@
     own: NodeAddress,
     seeds: Vec<SocketAddr>,
     nodes: Vec<NodeAddress>,
-    /// The data of this node are old from this age on, and it calls the store itself.
+    /// Age of the data from which on this node calls the store itself.
     fallback_age: Duration,
     /// This node knows all changes up to this instant.
     synced_to: Instant,
@@ -179,8 +181,9 @@
         self.is_fresh(now) && source_works
     }
 
-    /// Returns whether an answer of this node makes the data of a caller younger by so much that it
-    /// must not wait for a change. `caller_age` is the present age of the caller's data.
+    /// Returns whether the data of this node are younger than those of a caller by
+    /// `CONFIRMATION_GAIN_MIN` or more. Its call is then answered without waiting for a change.
+    /// `caller_age` is the age of the caller's data now.
     pub fn confirms_newer(&self, now: Instant, caller_age: Duration) -> bool {
         caller_age >= self.age(now).saturating_add(CONFIRMATION_GAIN_MIN)
     }
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -19,7 +19,8 @@
 /// Interval at which the lease is checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// A shorter delay of the event loop is not logged; a change passes three nodes within two seconds.
+/// Shorter delays of the event loop are not logged. A change passes three nodes within two seconds, so
+/// delays of this length matter.
 const LOGGED_DELAY_MIN: Duration = Duration::from_millis(250);
 
 /// Upper bound of the random delay before the first check, so that nodes that start at once do not
--- a/crates/router/src/row_origin.rs
+++ b/crates/router/src/row_origin.rs
@@ -28,7 +28,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RowOrigin {
     pub(crate) source: RowSource,
-    /// The rows were complete at this instant, or later.
+    /// The sender's data were complete up to this instant. For `OwnCopy`, when the grace period was
+    /// found to have ended; it states no age of the rows.
     pub(crate) as_of: Instant,
     /// When this node began to handle them.
     pub(crate) received_at: Instant,
--- a/crates/router/tests/answer_clock.rs
+++ b/crates/router/tests/answer_clock.rs
@@ -62,11 +62,16 @@
     assert!(clock.date(at(2_100), at(2_504), store_time(90_402)) >= at(2_400));
 }
 
-// Guards against a store without a clock.
+// Guards against a store without a clock whose answers are dated too late, or that is called without
+// a pause because no answer becomes a reference.
 #[test]
 fn an_answer_without_a_time_counts_from_its_call() {
     let mut clock = AnswerClock::default();
     assert_eq!(clock.date(at(0), at(400), None), at(0));
+    assert!(!clock.needs_reference(at(400)));
+    clock.date(at(400), at(404), store_time(402));
+    assert!(!clock.needs_reference(at(404)));
+    assert!(clock.needs_reference(at(31_000)));
 }
 
 proptest! {
