ranges: Split the assigner by what is known, decided and written

Change: No behaviour changes. The rule is in EpochSource, with the gap that a new leader skips and the invariant in its doc comment.

--- a/crates/ranges/src/epoch_source.rs
+++ b/crates/ranges/src/epoch_source.rs
@@ -2,13 +2,26 @@
 
 use wagtailmoor_core::Epoch;
 
-use crate::EpochBlock;
+use crate::{AssignmentTable, EpochBlock};
+
+/// Tokens that a new leader skips. The previous leader may have used one token to release each
+/// range without storing it, and a row of the store has room for fewer ranges than this.
+const EPOCH_GAP: u64 = 4_096;
 
 /// Issues the fencing tokens of a back end in one term of a leader.
 ///
-/// Each token is above all that a target may have seen: above those of former terms, because the
-/// source starts behind the stored ones and a gap for those that were issued without being stored,
-/// or behind the blocks of former terms; and above those of this term, because it counts up.
+/// Invariant: each token that [`Self::allocate`] issues is above all that a target may have seen.
+///
+/// - Above those of former terms that were issued from a block: a block follows all blocks that
+///   were reserved before it in its era, and all tokens of former eras.
+/// - Above those of the last term in a store without eras: the source starts behind the last token
+///   of the stored table and a gap for those that were not stored. The gap does not cover two terms:
+///   if a leader stores no table, the next one issues the same tokens for its releases again.
+/// - Above those of this term: the source only counts up, also when it takes another block.
+///
+/// No other type of this crate issues tokens for commands, so each command that takes keys from a
+/// process or gives them to one is ordered behind the earlier ones. `tests/fencing.rs` tests the
+/// invariant by the commands of a leader, and `tests/epochs.rs` the blocks.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EpochSource {
     last: Epoch,
@@ -17,9 +30,14 @@
 }
 
 impl EpochSource {
-    /// Creates a source of tokens above `used`.
-    pub(crate) fn after(used: Epoch) -> Self {
-        Self { last: used, end: None }
+    /// Creates a source for the leader that follows the one whose last stored table is known.
+    pub(crate) fn following(table: &AssignmentTable) -> Self {
+        Self { last: Self::possibly_issued(table), end: None }
+    }
+
+    /// Returns the highest token that a leader may have issued whose last stored table is known.
+    pub(crate) fn possibly_issued(table: &AssignmentTable) -> Epoch {
+        Epoch::new(table.last_epoch().get().saturating_add(EPOCH_GAP))
     }
 
     /// Issues only tokens of a block from now on.
@@ -33,9 +51,14 @@
         self.last
     }
 
-    /// Returns the number of tokens that may still be issued.
-    pub(crate) fn remaining(&self) -> u64 {
-        self.end.map_or(u64::MAX, Epoch::get).saturating_sub(self.last.get())
+    /// Returns whether at least `count` tokens may still be issued.
+    pub(crate) fn has(&self, count: u64) -> bool {
+        self.remaining() >= count
+    }
+
+    /// Returns whether another block should be reserved.
+    pub(crate) fn needs_block(&self) -> bool {
+        !self.has(EpochBlock::LEN / 2)
     }
 
     /// Issues a token. The caller has checked that one is left.
@@ -44,4 +67,9 @@
         self.last = self.last.next();
         self.last
     }
+
+    /// Returns the number of tokens that may still be issued.
+    fn remaining(&self) -> u64 {
+        self.end.map_or(u64::MAX, Epoch::get).saturating_sub(self.last.get())
+    }
 }
--- a/crates/ranges/src/range_entry.rs
+++ b/crates/ranges/src/range_entry.rs
@@ -4,8 +4,9 @@
 
 use wagtailmoor_core::{Epoch, Instant};
 
+use crate::process_fault::ProcessFault;
 use crate::release::Release;
-use crate::{KeyRange, TargetProcess};
+use crate::{AssignerSettings, GrantOutcome, KeyRange, ReleaseOutcome, TargetProcess};
 
 /// State of a range on the leader.
 #[derive(Clone, Debug, PartialEq)]
@@ -81,7 +82,123 @@
         }
     }
 
+    /// Returns whether the range waits for this release call.
+    pub(crate) fn awaits_release(
+        &self,
+        process: &TargetProcess,
+        range: KeyRange,
+        epoch: Epoch,
+    ) -> bool {
+        let RangeState::Releasing(release) = &self.state else { return false };
+        self.range == range && release.from == *process && release.epoch == epoch
+    }
+
     pub(crate) fn is_granted_to(&self, owner: &TargetProcess) -> bool {
         matches!(self.state, RangeState::Granted { .. }) && self.owner.as_ref() == Some(owner)
     }
+
+    /// Returns whether `process` was granted some keys of `granted` by this range under `epoch`.
+    pub(crate) fn is_affected_by_grant(
+        &self,
+        process: &TargetProcess,
+        granted: KeyRange,
+        epoch: Epoch,
+    ) -> bool {
+        let is_affected = self.epoch == epoch && self.range.intersection(granted).is_some();
+        is_affected && self.owner.as_ref() == Some(process)
+    }
+
+    /// Records the outcome of a grant to the owner that was sent at `sent_at`. `has_exited` states
+    /// whether the owner is known to have exited. Returns what the outcome reveals about the owner.
+    pub(crate) fn record_grant_outcome(
+        &mut self,
+        now: Instant,
+        settings: &AssignerSettings,
+        sent_at: Instant,
+        outcome: GrantOutcome,
+        has_exited: bool,
+    ) -> Option<ProcessFault> {
+        self.in_flight = false;
+        // Also for a range that is vacant at present: its owner may be listed again, and a later
+        // grant that is not delivered then falls back to this expiry.
+        match outcome {
+            GrantOutcome::Held => {
+                let expires = now + settings.grant_validity_max();
+                self.confirmed_expires = self.confirmed_expires.max(expires);
+            }
+            GrantOutcome::Unknown => self.confirmed_expires = self.expires,
+            _ => {}
+        }
+        let RangeState::Granted { renew_at } = &mut self.state else { return None };
+        match outcome {
+            // The owner has exited, and the last grant that could have reached its successor was
+            // not delivered.
+            GrantOutcome::NotDelivered | GrantOutcome::Refused if has_exited => {
+                self.state = RangeState::Vacant { free_from: now, to: None };
+            }
+            GrantOutcome::Held => {
+                *renew_at = sent_at + settings.renew_interval;
+                self.expires = self.confirmed_expires;
+                self.handover = None;
+            }
+            GrantOutcome::Unknown => *renew_at = now + settings.retry_interval,
+            // The target no longer owns the keys, so they may go to one that can be reached.
+            GrantOutcome::NotDelivered | GrantOutcome::Refused if now >= self.confirmed_expires => {
+                self.expires = self.confirmed_expires;
+                self.state = RangeState::Vacant { free_from: now, to: None };
+                return Some(ProcessFault::Unreachable);
+            }
+            GrantOutcome::NotDelivered | GrantOutcome::Refused => {
+                *renew_at = now + settings.retry_interval;
+                // A grant that was not delivered does not extend the previous one.
+                self.expires = self.confirmed_expires;
+            }
+            GrantOutcome::Fenced => {
+                // A previous leader released some of these keys and stopped before it stored a new
+                // owner. The same owner may get them at once under a higher epoch, another target
+                // only after the last grant has expired.
+                let (free_from, to) = (self.expires, self.owner.clone());
+                self.state = RangeState::Vacant { free_from, to };
+            }
+            GrantOutcome::Replaced => return Some(ProcessFault::Exited),
+        }
+        None
+    }
+
+    /// Records the outcome of the release call that the range waits for. A release that failed is
+    /// sent again at `retry_at`.
+    pub(crate) fn record_release_outcome(
+        &mut self,
+        now: Instant,
+        retry_at: Instant,
+        outcome: &ReleaseOutcome,
+    ) {
+        let RangeState::Releasing(release) = &mut self.state else { return };
+        release.in_flight = false;
+        match outcome {
+            ReleaseOutcome::Released { handover } => {
+                self.handover = handover.clone();
+                let to = release.to.take();
+                self.state = RangeState::Vacant { free_from: now, to };
+            }
+            ReleaseOutcome::Replaced => {
+                let to = release.to.take();
+                self.state = RangeState::Vacant { free_from: now, to };
+            }
+            ReleaseOutcome::Refused | ReleaseOutcome::Unknown => release.call_at = retry_at,
+        }
+    }
+
+    /// Vacates the range if `process`, which is known to have exited, may own it. A range with a
+    /// grant in flight waits for the outcome, because the next process of the target may accept that
+    /// grant.
+    pub(crate) fn record_exit(&mut self, now: Instant, process: &TargetProcess) {
+        let may_be_owned = matches!(
+            self.state,
+            RangeState::Granted { .. } | RangeState::Releasing(_) | RangeState::Vacant { .. }
+        );
+        if may_be_owned && !self.in_flight && self.possible_owner() == Some(process) {
+            self.state = RangeState::Vacant { free_from: now, to: None };
+        }
+    }
 }
--- a/crates/ranges/src/range_list.rs
+++ b/crates/ranges/src/range_list.rs
@@ -9,10 +9,6 @@
 use crate::release::Release;
 use crate::{Assignment, AssignmentTable, EpochBlock, KeyRange, Move, TargetProcess};
 
-/// Epochs that a new leader skips. The previous leader may have used one epoch to release each
-/// range without storing it, and a row of the store has room for fewer ranges than this.
-const EPOCH_GAP: u64 = 4_096;
-
 /// All ranges of a back end, sorted and without gaps, and the source of their epochs.
 #[derive(Debug)]
 pub(crate) struct RangeList {
@@ -40,7 +36,7 @@
             state: RangeState::Granted { renew_at: now },
         });
         let gaps = table.gaps().into_iter().map(|range| RangeEntry::unassigned(range, expires));
-        let epochs = EpochSource::after(Self::possibly_used(table));
+        let epochs = EpochSource::following(table);
         let mut list = Self { entries: assigned.chain(gaps).collect(), epochs };
         list.sort();
         list
@@ -55,25 +51,20 @@
         };
         let known_ranges = known.iter().map(|known| vacant(known.range, Some(known.owner.clone())));
         let gaps = known.gaps().into_iter().map(|range| vacant(range, None));
-        let epochs = EpochSource::after(Self::possibly_used(known));
+        let epochs = EpochSource::following(known);
         let mut list = Self { entries: known_ranges.chain(gaps).collect(), epochs };
         list.sort();
         list
     }
 
-    /// Returns the highest epoch that a leader may have used whose last table is known.
-    pub(crate) fn possibly_used(table: &AssignmentTable) -> Epoch {
-        Epoch::new(table.last_epoch().get().saturating_add(EPOCH_GAP))
-    }
-
     /// Uses only epochs of a block from now on.
     pub(crate) fn use_block(&mut self, block: &EpochBlock) {
         self.epochs.use_block(block);
     }
 
-    /// Returns the number of epochs that may still be used.
-    pub(crate) fn epochs_left(&self) -> u64 {
-        self.epochs.remaining()
+    /// Returns the source of epochs.
+    pub(crate) fn epochs(&self) -> &EpochSource {
+        &self.epochs
     }
 
     /// Gives each owner an epoch of a new era. No grant that any process sent before expires before
