lease: Split the candidate by what is known, decided and sent

Change: No behaviour changes. Knowledge holds the row, the active generation, the promises and releases of this node, the tenures and the consents, with the rule in its doc comment. Campaigns and Contacts hold what other nodes replied. Campaigner decides which requests are sent, Responder what other nodes are granted. RowReads and ControllerSpan hold the times of reads and of the authority. Member has its own file.

--- a/crates/lease/src/install.rs
+++ b/crates/lease/src/install.rs
@@ -25,14 +25,13 @@
 const NON_MEMBER_READ_INTERVAL_MS: u64 = 10_000;
 const RECOVERY_READ_INTERVAL_MS: u64 = 500;
 
-/// State kept between writes of the row: rate limits, dropped members and consents of other zones.
+/// State kept between writes of the row: rate limits and dropped members.
 #[derive(Debug)]
 pub(crate) struct Installer {
     next_write: Instant,
     next_zone_request_at: Instant,
     last_write: Option<Instant>,
     dropped: SortedVec<NodeId, Instant>,
-    consents: SortedVec<ZoneId, Instant>,
 }
 
 impl Installer {
@@ -42,7 +41,6 @@
             next_zone_request_at: now,
             last_write: None,
             dropped: SortedVec::new(),
-            consents: SortedVec::new(),
         }
     }
 
@@ -50,22 +48,13 @@
     pub(crate) fn record_write(&mut self, sent: Instant) {
         self.last_write = self.last_write.max(Some(sent));
     }
-
-    /// Records the consent of a zone whose request was sent at `sent`.
-    pub(crate) fn record_consent(&mut self, zone: ZoneId, sent: Instant) {
-        self.consents.insert(zone, sent);
-    }
-
-    pub(crate) fn clear_consents(&mut self) {
-        self.consents.clear();
-    }
 }
 
 impl Candidate {
     /// Returns the interval at which this node reads the row.
     pub(crate) fn read_interval_ms(&self) -> u64 {
-        let is_member = self.view.valid_panels().any(|panel| panel.contains(&self.node));
-        match self.view.is_recovered() {
+        let is_member = self.knowledge.view.valid_panels().any(|panel| panel.contains(&self.node));
+        match self.knowledge.view.is_recovered() {
             false => RECOVERY_READ_INTERVAL_MS.min(self.settings.renew_interval_ms),
             true if is_member || self.non_member_rank() < NON_MEMBER_READERS => {
                 self.settings.renew_interval_ms
@@ -105,8 +94,8 @@
     }
 
     fn extension_requests(&self, now: Instant) -> Vec<(ZoneId, ZoneRequestKind)> {
-        let active = self.view.active();
-        let panel = self.view.valid_panels().find(|panel| panel.generation == active);
+        let active = self.knowledge.view.active();
+        let panel = self.knowledge.view.valid_panels().find(|panel| panel.generation == active);
         let is_due = |panel: &&Panel| {
             let renewal_timeout_ms =
                 (self.settings.renew_interval_ms * 3 / 2).min(panel.tenure_ms / 3);
@@ -122,7 +111,8 @@
     }
 
     fn consent_requests(&self, now: Instant) -> Vec<(ZoneId, ZoneRequestKind)> {
-        let Some(stored) = self.view.stored().filter(|_| Some(now) >= self.tenure_ended_at())
+        let Some(stored) =
+            self.knowledge.view.stored().filter(|_| Some(now) >= self.tenure_ended_at())
         else {
             return Vec::new();
         };
@@ -137,10 +127,11 @@
     /// Returns the row that a node with a quorum writes: a renewal, or a new panel when members are
     /// replaced, dropped or added or the settings changed.
     fn renewed_row(&mut self, now: Instant) -> Option<ControllerRow> {
-        let stored = self.view.stored()?;
+        let stored = self.knowledge.view.stored()?;
         let row = &stored.row;
-        let is_active = row.panel.generation == self.view.active();
-        let is_stuck = now.saturating_since(self.view.panel_since()) >= ACTIVATION_TIMEOUT
+        let is_active = row.panel.generation == self.knowledge.view.active();
+        let is_stuck = now.saturating_since(self.knowledge.view.panel_since())
+            >= ACTIVATION_TIMEOUT
             && row.superseded.len() < MAX_SUPERSEDED;
         let keep = |node: &NodeId| self.is_responsive(now, node) && !self.leaving.contains(node);
         let members = match is_active || is_stuck {
@@ -158,7 +149,7 @@
         }
         let interval = Duration::from_millis(self.settings.renew_interval_ms);
         let is_due = self.installer.last_write.is_none_or(|sent| now >= sent + interval)
-            || self.tenure.end(self.view.active()).is_none_or(|end| end <= now)
+            || self.knowledge.tenure.end(self.knowledge.view.active()).is_none_or(|end| end <= now)
             || superseded.len() < row.superseded.len();
         is_due.then(|| ControllerRow { panel: row.panel.clone(), renewals, superseded })
     }
@@ -170,8 +161,10 @@
     /// Returns the first row of a zone, which any node of the zone may write.
     fn initial_row(&mut self, now: Instant) -> Option<ControllerRow> {
         let is_allowed = !self.is_foreign
-            && self.view.stored().is_none()
-            && now >= self.view.unchanged_since() + self.settings.stagger(self.non_member_rank());
+            && self.knowledge.view.stored().is_none()
+            && now
+                >= self.knowledge.view.unchanged_since()
+                    + self.settings.stagger(self.non_member_rank());
         let members = self.choose_members(now, &[], |_| true);
         is_allowed.then(|| self.row_with_panel(now, members, Vec::new()))
     }
@@ -180,7 +173,7 @@
     /// members are reachable to release them. A panel member writes the row when its campaign finds
     /// no quorum; a node outside the panel writes it when the row is no longer renewed.
     fn superseding_row(&mut self, now: Instant) -> Option<ControllerRow> {
-        let row = &self.view.stored()?.row;
+        let row = &self.knowledge.view.stored()?.row;
         let is_member = row.panels().any(|panel| panel.contains(&self.node));
         let can_release = |panel: &Panel| {
             let reachable = panel.members.iter().filter(|node| match is_member {
@@ -195,9 +188,9 @@
             true => {
                 self.campaigning_since().is_some_and(|since| now >= since + MIN_CAMPAIGN_DURATION)
             }
-            false => !self.is_foreign && now >= self.view.unchanged_since() + delay,
+            false => !self.is_foreign && now >= self.knowledge.view.unchanged_since() + delay,
         };
-        let is_fresh = self.row_confirmed_at.is_some();
+        let is_fresh = self.reads.is_confirmed();
         if !is_allowed
             || !is_fresh
             || row.superseded.len() >= MAX_SUPERSEDED
@@ -221,7 +214,7 @@
         members: Vec<NodeId>,
         superseded: Vec<Panel>,
     ) -> ControllerRow {
-        let row = self.view.stored().map(|stored| &stored.row);
+        let row = self.knowledge.view.stored().map(|stored| &stored.row);
         let old_panel = row.map(|row| row.panel.clone());
         let renewals = row.map_or(0, |row| row.renewals) + 1;
         let (generation, old_members) =
@@ -235,12 +228,11 @@
     /// Returns a row that replaces the panel without releases, which any node may write after the
     /// tenure has ended and a witness of each panel has consented.
     fn row_after_tenure(&mut self, now: Instant) -> Option<ControllerRow> {
-        let row = &self.view.stored()?.row;
+        let row = &self.knowledge.view.stored()?.row;
         let ended = self.tenure_ended_at()?;
         let consents = |panel: &Panel| {
-            let mut given =
-                panel.witnesses.iter().filter_map(|zone| self.installer.consents.get(zone));
-            panel.witnesses.is_empty() || given.any(|sent| *sent >= ended)
+            let mut given = panel.witnesses.iter().filter_map(|zone| self.knowledge.consent(zone));
+            panel.witnesses.is_empty() || given.any(|sent| sent >= ended)
         };
         let start = match self.is_foreign {
             true if !self.home_members.is_empty() => return None,
@@ -259,8 +251,9 @@
 
     /// Returns when the tenure of every panel of the row has ended, unless other zones extended it.
     fn tenure_ended_at(&self) -> Option<Instant> {
-        let tenure_ms = self.view.stored()?.row.panels().map(|panel| panel.tenure_ms).max()?;
-        Some(self.view.unchanged_since() + self.settings.plus_drift(tenure_ms))
+        let tenure_ms =
+            self.knowledge.view.stored()?.row.panels().map(|panel| panel.tenure_ms).max()?;
+        Some(self.knowledge.view.unchanged_since() + self.settings.plus_drift(tenure_ms))
     }
 
     fn next_panel(&self, generation: Generation, members: Vec<NodeId>) -> Panel {
@@ -307,8 +300,9 @@
 
     /// Returns the position of this node among the live nodes outside the newest panel.
     fn non_member_rank(&self) -> usize {
-        let is_outside =
-            |node: &NodeId| self.view.newest_panel().is_none_or(|panel| !panel.contains(node));
+        let is_outside = |node: &NodeId| {
+            self.knowledge.view.newest_panel().is_none_or(|panel| !panel.contains(node))
+        };
         self.members
             .iter()
             .filter(|member| member.node < self.node && is_outside(&member.node))
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -23,14 +23,22 @@
 mod action;
 mod authority;
 mod campaign;
+mod campaigner;
+mod campaigns;
 mod candidate;
+mod contacts;
+mod controller_span;
 mod install;
+mod knowledge;
+mod member;
 mod message;
 mod panel;
 mod pending_requests;
 mod pending_writes;
 mod recovery;
+mod responder;
 mod row;
+mod row_reads;
 mod row_view;
 mod settings;
 mod tenure;
@@ -39,7 +47,8 @@
 
 pub use action::{LeaseAction, WriteOutcome, WriteResult};
 pub use authority::Authority;
-pub use candidate::{Candidate, Member};
+pub use candidate::Candidate;
+pub use member::Member;
 pub use message::{
     Answer, PromiseReply, PromiseRequest, Refusal, RemainingTenure, RequestId, RequestKind, Stamp,
     ZoneReply, ZoneRequest, ZoneRequestKind,
