--- a/crates/lease/src/knowledge.rs
+++ b/crates/lease/src/knowledge.rs
@@ -15,8 +15,7 @@
 /// [`Voter::released`]. [`Self::learn_active`] raises it to the generation below the active one, and
 /// [`Self::learn`] to the one below the newest when a restarted node learns its first row. A row on
 /// which a previous incarnation may have acted is not relied on, see [`Self::learn_from_peer`].
-/// `tests/schedules.rs` and `tests/injected_bugs.rs` test the invariant by its effect, that a zone
-/// has one controller.
+/// `tests/released_generations.rs` tests the invariant by the answers of a node.
 #[derive(Debug)]
 pub(crate) struct Knowledge {
     pub(crate) view: RowView,
