Store the tokens that the former leader may have issued before new ones

Cause: In a store without eras a new leader starts behind the last token of the stored table and a gap of 4,096 for those that were not stored. If it released ranges and stored no table, the next leader started at the same token and issued the same ones for other releases. That two targets owned a key by this was not shown.

Change: The table that a new leader writes back before its first command has the gap marked as used (RangeAssigner::claim).

All tests of the crate pass.

--- a/crates/ranges/src/epoch_source.rs
+++ b/crates/ranges/src/epoch_source.rs
@@ -14,9 +14,9 @@
 ///
 /// - Above those of former terms that were issued from a block: a block follows all blocks that
 ///   were reserved before it in its era, and all tokens of former eras.
-/// - Above those of the last term in a store without eras: the source starts behind the last token
-///   of the stored table and a gap for those that were not stored. The gap does not cover two terms:
-///   if a leader stores no table, the next one issues the same tokens for its releases again.
+/// - Above those of former terms in a store without eras: the source starts behind the last token of
+///   the stored table and a gap for those that were not stored. The gap covers one term, so each
+///   leader stores the table with that gap before its first command ([`claim`](crate::RangeAssigner::claim)).
 /// - Above those of this term: the source only counts up, also when it takes another block.
 ///
 /// No other type of this crate issues tokens for commands, so each command that takes keys from a
--- a/crates/ranges/src/range_assigner.rs
+++ b/crates/ranges/src/range_assigner.rs
@@ -120,6 +120,13 @@
         EpochSource::possibly_issued(table)
     }
 
+    /// Marks the fencing tokens that the former leader may have issued as used, in a store without
+    /// eras. A new leader stores the table before its first command. Otherwise the leader after it
+    /// would issue the same tokens again if this one stores no other table.
+    pub fn claim(table: &mut AssignmentTable) {
+        table.mark_epochs_used(Self::possibly_issued(table));
+    }
+
     /// Continues in a new era of the store, which may have lost the newest owners. They are stored
     /// again under fencing tokens of a block of that era before the next grant or release.
     pub fn enter_era(&mut self, now: Instant, block: &EpochBlock) {
--- a/crates/ranges/tests/fencing.rs
+++ b/crates/ranges/tests/fencing.rs
@@ -212,7 +212,12 @@
                 (RangeAssigner::after_restore(self.now, settings, authority, known), None)
             }
             (None, last) => {
-                let table = last.map(|(_, table)| table);
+                let mut table = last.map(|(_, table)| table);
+                // The router starts an assigner only after this write has succeeded.
+                if let (None, Some(table)) = (era, &mut table) {
+                    RangeAssigner::claim(table);
+                    self.stored.push((None, table.clone()));
+                }
                 let assigner =
                     RangeAssigner::first_under(self.now, settings, authority, table.as_ref());
                 (assigner, table)
--- a/crates/router/src/grant_loop.rs
+++ b/crates/router/src/grant_loop.rs
@@ -95,7 +95,7 @@
         return;
     }
     let version = row.as_ref().map_or(RowVersion::default(), |row| row.version);
-    let stored = match row.map(|row| serde_json::from_value::<AssignmentTable>(row.value)) {
+    let mut stored = match row.map(|row| serde_json::from_value::<AssignmentTable>(row.value)) {
         None => None,
         Some(Ok(table)) => Some(table),
         Some(Err(error)) => {
@@ -103,6 +103,9 @@
             return;
         }
     };
+    if let Some(owners) = stored.as_mut().filter(|_| era == StoreEra::default()) {
+        RangeAssigner::claim(owners);
+    }
     // Owners of a former era may be older than the grants that were sent.
     let is_lost = match &stored {
         Some(owners) => owners.last_epoch().era() < era,
