Admit at the equal share while a reply of the leader is late

Cause: Nodes admit customers well within their limits at up to 2.5 equal shares until a second after the last reply. If a surge begins just when replies stop, all nodes together exceed the rate for that second.

Change: Once a report wasn't answered (two intervals without a reply), the independent rate is the equal share. The independent burst stays.

--- a/crates/admission/src/customer_limits.rs
+++ b/crates/admission/src/customer_limits.rs
@@ -96,10 +96,13 @@
         let mode = self.mode(now, &rule.customer);
         let (rate_per_s, _) = self.settings.limit(rule);
         let nodes = f64::from(self.nodes);
-        let replied_at = self.reply_valid_until - ReportTiming::REPLY_LIFETIME;
+        let replied_at = self.replied_at();
         self.usage_since.get_or_insert(now);
         let full_bucket = |limit: LocalLimit| (limit.rate_per_s, limit.burst, None);
         let (rate_per_s, burst, level) = match mode {
+            Mode::Independent if self.is_reply_late(now) => {
+                full_bucket(self.settings.late_reply_limit(rule, nodes))
+            }
             Mode::Independent => full_bucket(self.settings.independent_limit(rule, nodes)),
             Mode::Disconnected => full_bucket(self.settings.disconnected_limit(rule, nodes)),
             Mode::Allowance { share, level } if level > 0.0 => {
@@ -201,6 +204,17 @@
         }
     }
 
+    /// Returns when the report was sent that the issuer answered last.
+    fn replied_at(&self) -> Instant {
+        self.reply_valid_until - ReportTiming::REPLY_LIFETIME
+    }
+
+    /// Returns whether a report was not answered: the issuer may have failed.
+    fn is_reply_late(&self, now: Instant) -> bool {
+        let interval = ReportTiming::interval(self.nodes as usize);
+        now.saturating_since(self.replied_at()) > 2 * interval
+    }
+
     /// Returns the time until the account contains one request per node again.
     fn retry_delay(&self, rule: &CustomerRule, mode: Mode) -> Duration {
         let (rate_per_s, _) = self.settings.limit(rule);
--- a/crates/admission/src/limit_settings.rs
+++ b/crates/admission/src/limit_settings.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    /// Returns the limit of a node for a customer that is well within its limit, while a reply of the
+    /// issuer is late. Without new allowances all nodes together must not exceed the rate.
+    pub(crate) fn late_reply_limit(&self, rule: &CustomerRule, nodes: f64) -> LocalLimit {
+        let (rate_per_s, _) = self.limit(rule);
+        let LocalLimit { burst, .. } = self.independent_limit(rule, nodes);
+        LocalLimit { rate_per_s: rate_per_s / nodes, burst }
+    }
+
     /// Returns the limit of a node that gets no replies from the issuer.
     pub(crate) fn disconnected_limit(&self, rule: &CustomerRule, nodes: f64) -> LocalLimit {
         let (rate_per_s, _) = self.limit(rule);
