--- a/crates/router/src/node_settings.rs
+++ b/crates/router/src/node_settings.rs
@@ -43,7 +43,7 @@
     pub seeds: Vec<SocketAddr>,
     /// Time from the stop signal until the platform kills the process.
     pub grace: Duration,
-    /// Time within which a change of the operators must be in force on this node.
+    /// Time within which a change of the operators or of a target must be in force on this node.
     pub apply_time: Duration,
     /// CPU and network capacity of the host, relative to other nodes. The strongest node of a zone
     /// relays changes to the others.
