Roll back for slow answers of more than one moment only

Cause: rollouts::keys_follow_the_ordered_version rolled back a good version with the cause "slow answers". In a traced run, the first new target with keys in the shift had six requests when the process stood still for 140 ms. All six counted as slow and as independent answers, against 178 of old targets in the same 2 s of which 9 took over 60 ms: enough for a z of 4. The rule that leaves out the worst canary doesn't apply to other new targets. The two other reproductions have the same cause (6 answers within 1 ms; 3 within 100 ms). A pause of a new target would do the same to a site.

Change: slow answers must stay significant without the two successive periods with the most of them. Reports of a pause can reach two periods, as hosts report up to 200 ms apart. Failures are judged as before.

--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -1,6 +1,7 @@
 //! Answers of the old and the new version of a back end, over all hosts.
 
 use std::collections::VecDeque;
+use std::ops::Range;
 use std::time::Duration;
 
 use wagtailmoor_core::{Instant, SortedVec, TargetId, TemplateId};
@@ -27,7 +28,7 @@
 /// the limit is higher than for a single test.
 const Z_MIN: f64 = 4.0;
 
-/// The same without the worst canaries.
+/// The same without the worst canaries, or without the worst moment.
 const Z_MIN_REST: f64 = 3.0;
 
 /// Least excess of the ratio of failures of a bad version.
@@ -40,6 +41,11 @@
 /// Part of the canaries whose answers are left out, the worst first: every fifth, at least one.
 const CANARIES_PER_EXCLUDED: usize = 5;
 
+/// Number of successive periods that can hold the slow answers of one moment. A pause of a host or of
+/// a target delays all requests in flight there, and hosts report their answers up to 200 ms apart.
+/// Six answers that one pause of 140 ms delayed rolled back a good version.
+const MOMENT_PERIODS: usize = 2;
+
 /// With a single canary, a version is bad only after bad answers in this many periods; a faulty
 /// target looks the same for a shorter time.
 const SINGLE_CANARY_PERIODS: u32 = 5;
@@ -81,6 +87,39 @@
 /// A sum over the answers of a period that count as bad.
 type Bad = fn(&AnswerCounts) -> u32;
 
+/// A way in which a version can be worse.
+struct FaultKind {
+    name: &'static str,
+    bad: Bad,
+    /// Least excess of the ratio of bad answers.
+    excess_min: f64,
+    /// Whether bad answers of a single moment are no evidence.
+    needs_moments: bool,
+}
+
+const FAULT_KINDS: [FaultKind; 2] = [
+    FaultKind {
+        name: "failures",
+        bad: |counts| counts.failures,
+        excess_min: FAILURES_EXCESS_MIN,
+        needs_moments: false,
+    },
+    FaultKind {
+        name: "slow answers",
+        bad: |counts| counts.slow,
+        excess_min: SLOW_EXCESS_MIN,
+        needs_moments: true,
+    },
+];
+
+/// Answers of the new version that are left out of a comparison.
+#[derive(Default)]
+struct Excluded<'a> {
+    canaries: &'a [&'a TargetId],
+    /// Numbers of periods.
+    periods: Range<usize>,
+}
+
 /// Answers of the old and the new version of a back end, over all hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -151,45 +190,61 @@
 
     /// Returns why the new version is bad; `None` unless it is.
     pub fn fault(&self) -> Option<&'static str> {
-        let kinds: [(Bad, f64, &'static str); 2] = [
-            (|counts| counts.failures, FAILURES_EXCESS_MIN, "failures"),
-            (|counts| counts.slow, SLOW_EXCESS_MIN, "slow answers"),
-        ];
         let routes = || self.new_answers.keys().map(Some).chain([None]);
-        kinds.into_iter().find_map(|(bad, excess_min, name)| {
-            let is_bad = WINDOWS
+        let found = FAULT_KINDS.iter().find(|kind| {
+            WINDOWS
                 .into_iter()
-                .any(|periods| routes().any(|route| self.is_bad(periods, route, bad, excess_min)));
-            is_bad.then_some(name)
-        })
+                .any(|periods| routes().any(|route| self.is_bad(periods, route, kind)))
+        });
+        found.map(|kind| kind.name)
     }
 
     /// Returns whether the answers on a route, or on all, show a bad version. The worst canaries
     /// are left out: a single faulty target is not a bad version.
-    fn is_bad(
-        &self,
-        periods: usize,
-        route: Option<&TemplateId>,
-        bad: Bad,
-        excess_min: f64,
-    ) -> bool {
-        let all = self.compare(periods, route, bad, &[]);
-        let is_significant =
-            |found: &Comparison, z_min: f64| found.z() >= z_min && found.excess() >= excess_min;
+    fn is_bad(&self, periods: usize, route: Option<&TemplateId>, kind: &FaultKind) -> bool {
+        let bad = kind.bad;
+        let all = self.compare(periods, route, bad, &Excluded::default());
+        let is_significant = |found: &Comparison, z_min: f64| {
+            found.z() >= z_min && found.excess() >= kind.excess_min
+        };
         if all.answers() < ANSWERS_MIN || all.bad() < BAD_MIN || !is_significant(&all, Z_MIN) {
             return false;
         }
+        let is_bad_without = |excluded: Excluded<'_>| {
+            let rest = self.compare(periods, route, bad, &excluded);
+            rest.bad() >= BAD_MIN - 1.0 && is_significant(&rest, Z_MIN_REST)
+        };
+        let moment = || self.worst_moment(periods, route, bad);
+        if kind.needs_moments
+            && !is_bad_without(Excluded { periods: moment(), ..Excluded::default() })
+        {
+            return false;
+        }
         let (worst, has_others) = self.worst_canaries(periods, route, bad);
         match worst.len() {
             0 | 1 if !has_others => all.bad_periods() >= SINGLE_CANARY_PERIODS,
             canaries => {
                 let excluded = (canaries / CANARIES_PER_EXCLUDED).max(1).min(canaries);
-                let rest = self.compare(periods, route, bad, &worst[..excluded]);
-                rest.bad() >= BAD_MIN - 1.0 && is_significant(&rest, Z_MIN_REST)
+                is_bad_without(Excluded { canaries: &worst[..excluded], ..Excluded::default() })
             }
         }
     }
 
+    /// Returns the numbers of the successive periods with the most bad answers of the new version.
+    fn worst_moment(&self, periods: usize, route: Option<&TemplateId>, bad: Bad) -> Range<usize> {
+        let bad_of = |period: &Period| -> u32 {
+            let new = period.new.iter();
+            let on_route = new.filter(|((known, _), _)| route.is_none_or(|route| route == known));
+            on_route.map(|(_, counts)| bad(counts)).sum()
+        };
+        let first = self.periods.len().saturating_sub(periods);
+        let sums: Vec<u32> = self.periods.iter().skip(first).map(bad_of).collect();
+        let moment_bad =
+            |start: &usize| -> u32 { sums.iter().skip(*start).take(MOMENT_PERIODS).sum() };
+        let worst = first + (0..sums.len()).max_by_key(moment_bad).unwrap_or_default();
+        worst..worst + MOMENT_PERIODS
+    }
+
     /// Returns the canaries, those with the most bad answers first, and whether other targets of the
     /// new version answered.
     fn worst_canaries(
@@ -223,7 +278,7 @@
         periods: usize,
         route: Option<&TemplateId>,
         bad: Bad,
-        excluded: &[&TargetId],
+        excluded: &Excluded<'_>,
     ) -> Comparison {
         let is_on_route = |known: &TemplateId| route.is_none_or(|route| route == known);
         let sum = |total: (u32, u32), counts: &AnswerCounts| {
@@ -238,13 +293,14 @@
             let old = period.old.iter().filter(|(known, _)| is_on_route(known));
             let old = old.fold((0, 0), |total, (_, counts)| sum(total, counts));
             let new = period.new.iter().filter(|((known, target), _)| {
-                is_on_route(known) && target.as_ref().is_none_or(|id| !excluded.contains(&id))
+                is_on_route(known)
+                    && target.as_ref().is_none_or(|id| !excluded.canaries.contains(&id))
             });
             let new = new.fold((0, 0), |total, (_, counts)| sum(total, counts));
             if old.0 > 0 {
                 reference = old;
             }
-            if number >= first {
+            if number >= first && !excluded.periods.contains(&number) {
                 comparison.add(reference, new);
             }
         }
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -45,6 +45,11 @@
     (attempt.is_new && attempt.now_ms > 6_300 && attempt.chance < 0.3, 1)
 }
 
+/// The version is slow only under the load of the shift.
+fn slow_in_shift(attempt: Attempt) -> (bool, u64) {
+    (false, if attempt.is_new && attempt.now_ms > 6_300 { 8 } else { 1 })
+}
+
 /// One target of either version fails from the third second on.
 fn one_target_fails(attempt: Attempt) -> (bool, u64) {
     (attempt.target == 3 && attempt.now_ms > 3_000, 1)
@@ -77,6 +82,8 @@
 #[case::one_route(Plan { behaviour: failing_on_one_route, ..PLAN })]
 #[case::later(Plan { behaviour: failing_later, ..PLAN })]
 #[case::in_shift(Plan { behaviour: failing_in_shift, ..PLAN })]
+#[case::slow_in_shift(Plan { behaviour: slow_in_shift, ..PLAN })]
+#[case::slow_with_few_requests(Plan { behaviour: slow, per_s: 40, ..PLAN })]
 #[case::many_hosts(Plan { behaviour: failing, hosts: 300, old: 100, new: 100, ..PLAN })]
 #[case::restarts(Plan { behaviour: failing, hosts: 300, restarts_percent: 20, ..PLAN })]
 #[case::leader_lost(Plan { behaviour: failing_later, leader_lost_ms: &[5_000], ..PLAN })]
