Do not let a version whose few answers failed succeed

Cause: without enough answers, a rollout succeeded at 0.85 of its duration whatever they were, as a verdict needs 6. In a run of rollouts::keys_follow_the_ordered_version beside other load, v3 succeeded after 4 failures in 4 answers: its canary had few keys, and requests waited for owners at the start of the last phase.

Change: a version with two failures or more, and a ratio of failures of 0.1 above the old version's since the start, stays in the last phase until it has enough answers or the time limit rolls it back. The worst canary is left out once another new target has answered.

--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -60,6 +60,10 @@
 /// Rarer routes would delay every decision.
 const ROUTE_SHARE_MIN_PERCENT: u64 = 5;
 
+/// Least number of failures that keep a version with too few answers from succeeding. A single one can
+/// be a target that restarts.
+const DOUBT_FAILURES_MIN: u32 = 2;
+
 /// An answer is slow if it takes this many times the old version's mean on its route.
 const SLOW_FACTOR: f64 = 3.0;
 
@@ -128,6 +132,10 @@
     old_means_ms: SortedVec<TemplateId, f64>,
     old_answers: SortedVec<TemplateId, u32>,
     new_answers: SortedVec<TemplateId, u32>,
+    /// Answers of all kept routes since the start of the rollout or of the term.
+    old_total: AnswerCounts,
+    /// The same by canary; `None` for all other new targets together.
+    new_totals: SortedVec<Option<TargetId>, AnswerCounts>,
 }
 
 impl Evidence {
@@ -148,6 +156,7 @@
             }
             let (route, counts) = (&entry.route, &entry.counts);
             period.old.get_or_insert_with(route.clone(), AnswerCounts::default).add(counts);
+            self.old_total.add(counts);
             *self.old_answers.get_or_insert_with(route.clone(), || 0) += counts.answers;
             let timed = counts.answers.saturating_sub(counts.failures);
             if timed > 0 {
@@ -160,6 +169,9 @@
         for entry in &report.new {
             let key = (entry.route.clone(), entry.target.clone());
             period.new.get_or_insert_with(key, AnswerCounts::default).add(&entry.counts);
+            let of_target = entry.target.clone();
+            let total = self.new_totals.get_or_insert_with(of_target, AnswerCounts::default);
+            total.add(&entry.counts);
             let total = self.new_answers.get_or_insert_with(entry.route.clone(), || 0);
             *total += entry.counts.answers;
         }
@@ -188,6 +200,36 @@
             })
     }
 
+    /// Returns whether the new version has failed more often than the old one, also where its answers
+    /// are too few for a verdict. The worst canary is left out once another new target has answered.
+    pub fn is_doubtful(&self) -> bool {
+        let sum = |excluded: Option<&TargetId>| {
+            let mut total = AnswerCounts::default();
+            for (target, counts) in self.new_totals.iter() {
+                if excluded.is_none() || target.as_ref() != excluded {
+                    total.add(counts);
+                }
+            }
+            total
+        };
+        let ratio =
+            |counts: &AnswerCounts| f64::from(counts.failures) / f64::from(counts.answers.max(1));
+        let is_worse = |new: &AnswerCounts| {
+            new.failures > 0 && ratio(new) - ratio(&self.old_total) >= FAILURES_EXCESS_MIN
+        };
+        let all = sum(None);
+        if all.failures < DOUBT_FAILURES_MIN || !is_worse(&all) {
+            return false;
+        }
+        let canaries = self.new_totals.iter().filter_map(|(target, counts)| {
+            let target = target.as_ref()?;
+            Some((target, counts.failures))
+        });
+        let worst = canaries.max_by_key(|(_, failures)| *failures).map(|(target, _)| target);
+        let rest = sum(worst);
+        rest.answers == 0 || is_worse(&rest)
+    }
+
     /// Returns why the new version is bad; `None` unless it is.
     pub fn fault(&self) -> Option<&'static str> {
         let routes = || self.new_answers.keys().map(Some).chain([None]);
--- a/crates/rollout/src/rollout_controller.rs
+++ b/crates/rollout/src/rollout_controller.rs
@@ -42,7 +42,8 @@
 /// Part of the duration by which the shift ends, if the new targets became available late.
 const SHIFT_END_LATEST: f64 = 0.8;
 
-/// Part of the duration after which a version succeeds although it has few answers.
+/// Part of the duration after which a version succeeds although it has few answers, unless these leave
+/// it in doubt: a version that always fails otherwise succeeds for lack of requests.
 const SETTLE_END_WITHOUT_EVIDENCE: f64 = 0.85;
 
 /// Shares of the steps of the shift. With the canary phase, the first two take 8 of 100 requests, so
@@ -339,7 +340,8 @@
         if was_seen.is_some_and(|seen| now >= seen + NEW_GONE_AFTER) {
             return Some((RolloutPhase::RolledBack, "no target of the new version"));
         }
-        let is_known = self.evidence.is_sufficient() || part >= SETTLE_END_WITHOUT_EVIDENCE;
+        let is_known = self.evidence.is_sufficient()
+            || part >= SETTLE_END_WITHOUT_EVIDENCE && !self.evidence.is_doubtful();
         if active.phase == RolloutPhase::Settle && is_known && self.is_settled(now, inventory) {
             self.success_requested |= part < 1.0;
             if self.success_requested {
--- a/crates/rollout/tests/rollouts.rs
+++ b/crates/rollout/tests/rollouts.rs
@@ -28,6 +28,10 @@
     (attempt.is_new && attempt.chance < 0.3, 1)
 }
 
+fn always_failing(attempt: Attempt) -> (bool, u64) {
+    (attempt.is_new, 1)
+}
+
 fn slow(attempt: Attempt) -> (bool, u64) {
     (false, if attempt.is_new { 8 } else { 1 })
 }
@@ -65,6 +69,10 @@
     ((4_000..5_500).contains(&attempt.now_ms) && attempt.chance < 0.7, 1)
 }
 
+fn one_in_twelve_fails(attempt: Attempt) -> (bool, u64) {
+    (attempt.chance < 1.0 / 12.0, 1)
+}
+
 /// A fifth of the answers takes three times as long, because of other load on their hosts.
 fn noisy(attempt: Attempt) -> (bool, u64) {
     (attempt.chance > 0.99, if attempt.chance < 0.2 { 3 } else { 1 })
@@ -117,6 +125,9 @@
 #[case::leader_lost(Plan { leader_lost_ms: &[4_000], ..PLAN }, noisy)]
 #[case::leader_lost_in_shift(Plan { leader_lost_ms: &[7_000], ..PLAN }, good)]
 #[case::few_requests(Plan { per_s: 20, ..PLAN }, good)]
+#[case::few_requests_some_fail(Plan { per_s: 20, ..PLAN }, one_in_twelve_fails)]
+#[case::few_requests_one_target(Plan { per_s: 6, ..PLAN }, one_target_fails)]
+#[case::very_few_requests(Plan { per_s: 1, ..PLAN }, good)]
 #[case::few_targets(Plan { old: 2, new: 2, ..PLAN }, noisy)]
 #[case::restarts(Plan { hosts: 100, restarts_percent: 10, ..PLAN }, good)]
 fn a_good_version_succeeds_in_time(#[case] plan: Plan, #[case] behaviour: Behaviour) {
@@ -129,3 +140,15 @@
         assert_eq!(outcome.old_in_flight, 0, "{context}");
     }
 }
+
+// Guards against the success of a version whose few answers have failed, because too few requests
+// came for a verdict.
+#[rstest]
+fn a_version_that_always_fails_is_rolled_back_after_few_requests(#[values(2, 3, 6)] per_s: u64) {
+    for seed in 0..SEEDS {
+        let outcome = run(Plan { behaviour: always_failing, per_s, ..PLAN }, seed);
+        let context = format!("seed {seed}: {outcome:?}");
+        assert_eq!(state(&outcome), Some(RolloutState::RolledBack), "{context}");
+        assert!(outcome.to_new <= outcome.requests / 10 + 50, "{context}");
+    }
+}
