Wait for a first answer before a version succeeds

Cause: a rollout without enough answers succeeded at 0.85 of its duration even if no answer of the new version was known. If its targets got no keys before the last phase, which begins at 0.8 then, requests first wait for the new owners. In a run of rollouts::keys_follow_the_ordered_version beside other load, the first failures of v3 came 0.42 s after the start of that phase, and the success was decided 0.15 s later, before they were reported.

Change: without any answer, a version succeeds at 0.9 of the duration. Back ends without requests are completed by then, too.

--- a/crates/rollout/src/rollout_controller.rs
+++ b/crates/rollout/src/rollout_controller.rs
@@ -46,6 +46,11 @@
 /// it in doubt: a version that always fails otherwise succeeds for lack of requests.
 const SETTLE_END_WITHOUT_EVIDENCE: f64 = 0.85;
 
+/// Part of the duration after which a version succeeds although it has no answer at all. Requests on
+/// a keyed back end first wait for the new owners of their keys, for 0.4 s on a busy machine, and a
+/// late shift ends at [`SHIFT_END_LATEST`].
+const SETTLE_END_WITHOUT_ANSWERS: f64 = 0.9;
+
 /// Shares of the steps of the shift. With the canary phase, the first two take 8 of 100 requests, so
 /// that a version whose fault appears under load stays within the exposure share.
 const SHIFT_SHARES: [f64; 2] = [0.2, 0.4];
@@ -340,8 +345,12 @@
         if was_seen.is_some_and(|seen| now >= seen + NEW_GONE_AFTER) {
             return Some((RolloutPhase::RolledBack, "no target of the new version"));
         }
-        let is_known = self.evidence.is_sufficient()
-            || part >= SETTLE_END_WITHOUT_EVIDENCE && !self.evidence.is_doubtful();
+        let settle_end = match self.evidence.new_answers() {
+            0 => SETTLE_END_WITHOUT_ANSWERS,
+            _ => SETTLE_END_WITHOUT_EVIDENCE,
+        };
+        let is_known =
+            self.evidence.is_sufficient() || part >= settle_end && !self.evidence.is_doubtful();
         if active.phase == RolloutPhase::Settle && is_known && self.is_settled(now, inventory) {
             self.success_requested |= part < 1.0;
             if self.success_requested {
