--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -1,6 +1,7 @@
 //! Answers of the old and the new version of a back end, over all hosts.
 
 use std::collections::VecDeque;
+use std::ops::Range;
 use std::time::Duration;
 
 use wagtailmoor_core::{Instant, SortedVec, TargetId, TemplateId};
@@ -27,7 +28,7 @@
 /// the limit is higher than for a single test.
 const Z_MIN: f64 = 4.0;
 
-/// The same without the worst canaries.
+/// The same without the worst canaries, or without the worst moment.
 const Z_MIN_REST: f64 = 3.0;
 
 /// Least excess of the ratio of failures of a bad version.
@@ -40,6 +41,11 @@
 /// Part of the canaries whose answers are left out, the worst first: every fifth, at least one.
 const CANARIES_PER_EXCLUDED: usize = 5;
 
+/// Number of successive periods that can hold the slow answers of one moment. A pause of a host or of
+/// a target delays all requests in flight there, and hosts report their answers up to 200 ms apart.
+/// Six answers that one pause of 140 ms delayed rolled back a good version.
+const MOMENT_PERIODS: usize = 2;
+
 /// With a single canary, a version is bad only after bad answers in this many periods; a faulty
 /// target looks the same for a shorter time.
 const SINGLE_CANARY_PERIODS: u32 = 5;
@@ -54,6 +60,10 @@
 /// Rarer routes would delay every decision.
 const ROUTE_SHARE_MIN_PERCENT: u64 = 5;
 
+/// Least number of failures that keep a version with too few answers from succeeding. A single one can
+/// be a target that restarts.
+const DOUBT_FAILURES_MIN: u32 = 2;
+
 /// An answer is slow if it takes this many times the old version's mean on its route.
 const SLOW_FACTOR: f64 = 3.0;
 
@@ -81,6 +91,39 @@
 /// A sum over the answers of a period that count as bad.
 type Bad = fn(&AnswerCounts) -> u32;
 
+/// A way in which a version can be worse.
+struct FaultKind {
+    name: &'static str,
+    bad: Bad,
+    /// Least excess of the ratio of bad answers.
+    excess_min: f64,
+    /// Whether bad answers of a single moment are no evidence.
+    needs_moments: bool,
+}
+
+const FAULT_KINDS: [FaultKind; 2] = [
+    FaultKind {
+        name: "failures",
+        bad: |counts| counts.failures,
+        excess_min: FAILURES_EXCESS_MIN,
+        needs_moments: false,
+    },
+    FaultKind {
+        name: "slow answers",
+        bad: |counts| counts.slow,
+        excess_min: SLOW_EXCESS_MIN,
+        needs_moments: true,
+    },
+];
+
+/// Answers of the new version that are left out of a comparison.
+#[derive(Default)]
+struct Excluded<'a> {
+    canaries: &'a [&'a TargetId],
+    /// Numbers of periods.
+    periods: Range<usize>,
+}
+
 /// Answers of the old and the new version of a back end, over all hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -89,6 +132,10 @@
     old_means_ms: SortedVec<TemplateId, f64>,
     old_answers: SortedVec<TemplateId, u32>,
     new_answers: SortedVec<TemplateId, u32>,
+    /// Answers of all kept routes since the start of the rollout or of the term.
+    old_total: AnswerCounts,
+    /// The same by canary; `None` for all other new targets together.
+    new_totals: SortedVec<Option<TargetId>, AnswerCounts>,
 }
 
 impl Evidence {
@@ -109,6 +156,7 @@
             }
             let (route, counts) = (&entry.route, &entry.counts);
             period.old.get_or_insert_with(route.clone(), AnswerCounts::default).add(counts);
+            self.old_total.add(counts);
             *self.old_answers.get_or_insert_with(route.clone(), || 0) += counts.answers;
             let timed = counts.answers.saturating_sub(counts.failures);
             if timed > 0 {
@@ -121,6 +169,9 @@
         for entry in &report.new {
             let key = (entry.route.clone(), entry.target.clone());
             period.new.get_or_insert_with(key, AnswerCounts::default).add(&entry.counts);
+            let of_target = entry.target.clone();
+            let total = self.new_totals.get_or_insert_with(of_target, AnswerCounts::default);
+            total.add(&entry.counts);
             let total = self.new_answers.get_or_insert_with(entry.route.clone(), || 0);
             *total += entry.counts.answers;
         }
@@ -149,47 +200,93 @@
             })
     }
 
+    /// Returns whether the new version has failed more often than the old one, also where its answers
+    /// are too few for a verdict. The worst canary is left out once another new target has answered.
+    pub fn is_doubtful(&self) -> bool {
+        let sum = |excluded: Option<&TargetId>| {
+            let mut total = AnswerCounts::default();
+            for (target, counts) in self.new_totals.iter() {
+                if excluded.is_none() || target.as_ref() != excluded {
+                    total.add(counts);
+                }
+            }
+            total
+        };
+        let ratio =
+            |counts: &AnswerCounts| f64::from(counts.failures) / f64::from(counts.answers.max(1));
+        let is_worse = |new: &AnswerCounts| {
+            new.failures > 0 && ratio(new) - ratio(&self.old_total) >= FAILURES_EXCESS_MIN
+        };
+        let all = sum(None);
+        if all.failures < DOUBT_FAILURES_MIN || !is_worse(&all) {
+            return false;
+        }
+        let canaries = self.new_totals.iter().filter_map(|(target, counts)| {
+            let target = target.as_ref()?;
+            Some((target, counts.failures))
+        });
+        let worst = canaries.max_by_key(|(_, failures)| *failures).map(|(target, _)| target);
+        let rest = sum(worst);
+        rest.answers == 0 || is_worse(&rest)
+    }
+
     /// Returns why the new version is bad; `None` unless it is.
     pub fn fault(&self) -> Option<&'static str> {
-        let kinds: [(Bad, f64, &'static str); 2] = [
-            (|counts| counts.failures, FAILURES_EXCESS_MIN, "failures"),
-            (|counts| counts.slow, SLOW_EXCESS_MIN, "slow answers"),
-        ];
         let routes = || self.new_answers.keys().map(Some).chain([None]);
-        kinds.into_iter().find_map(|(bad, excess_min, name)| {
-            let is_bad = WINDOWS
+        let found = FAULT_KINDS.iter().find(|kind| {
+            WINDOWS
                 .into_iter()
-                .any(|periods| routes().any(|route| self.is_bad(periods, route, bad, excess_min)));
-            is_bad.then_some(name)
-        })
+                .any(|periods| routes().any(|route| self.is_bad(periods, route, kind)))
+        });
+        found.map(|kind| kind.name)
     }
 
     /// Returns whether the answers on a route, or on all, show a bad version. The worst canaries
     /// are left out: a single faulty target is not a bad version.
-    fn is_bad(
-        &self,
-        periods: usize,
-        route: Option<&TemplateId>,
-        bad: Bad,
-        excess_min: f64,
-    ) -> bool {
-        let all = self.compare(periods, route, bad, &[]);
-        let is_significant =
-            |found: &Comparison, z_min: f64| found.z() >= z_min && found.excess() >= excess_min;
+    fn is_bad(&self, periods: usize, route: Option<&TemplateId>, kind: &FaultKind) -> bool {
+        let bad = kind.bad;
+        let all = self.compare(periods, route, bad, &Excluded::default());
+        let is_significant = |found: &Comparison, z_min: f64| {
+            found.z() >= z_min && found.excess() >= kind.excess_min
+        };
         if all.answers() < ANSWERS_MIN || all.bad() < BAD_MIN || !is_significant(&all, Z_MIN) {
             return false;
         }
+        let is_bad_without = |excluded: Excluded<'_>| {
+            let rest = self.compare(periods, route, bad, &excluded);
+            rest.bad() >= BAD_MIN - 1.0 && is_significant(&rest, Z_MIN_REST)
+        };
+        let moment = || self.worst_moment(periods, route, bad);
+        if kind.needs_moments
+            && !is_bad_without(Excluded { periods: moment(), ..Excluded::default() })
+        {
+            return false;
+        }
         let (worst, has_others) = self.worst_canaries(periods, route, bad);
         match worst.len() {
             0 | 1 if !has_others => all.bad_periods() >= SINGLE_CANARY_PERIODS,
             canaries => {
                 let excluded = (canaries / CANARIES_PER_EXCLUDED).max(1).min(canaries);
-                let rest = self.compare(periods, route, bad, &worst[..excluded]);
-                rest.bad() >= BAD_MIN - 1.0 && is_significant(&rest, Z_MIN_REST)
+                is_bad_without(Excluded { canaries: &worst[..excluded], ..Excluded::default() })
             }
         }
     }
 
+    /// Returns the numbers of the successive periods with the most bad answers of the new version.
+    fn worst_moment(&self, periods: usize, route: Option<&TemplateId>, bad: Bad) -> Range<usize> {
+        let bad_of = |period: &Period| -> u32 {
+            let new = period.new.iter();
+            let on_route = new.filter(|((known, _), _)| route.is_none_or(|route| route == known));
+            on_route.map(|(_, counts)| bad(counts)).sum()
+        };
+        let first = self.periods.len().saturating_sub(periods);
+        let sums: Vec<u32> = self.periods.iter().skip(first).map(bad_of).collect();
+        let moment_bad =
+            |start: &usize| -> u32 { sums.iter().skip(*start).take(MOMENT_PERIODS).sum() };
+        let worst = first + (0..sums.len()).max_by_key(moment_bad).unwrap_or_default();
+        worst..worst + MOMENT_PERIODS
+    }
+
     /// Returns the canaries, those with the most bad answers first, and whether other targets of the
     /// new version answered.
     fn worst_canaries(
@@ -223,7 +320,7 @@
         periods: usize,
         route: Option<&TemplateId>,
         bad: Bad,
-        excluded: &[&TargetId],
+        excluded: &Excluded<'_>,
     ) -> Comparison {
         let is_on_route = |known: &TemplateId| route.is_none_or(|route| route == known);
         let sum = |total: (u32, u32), counts: &AnswerCounts| {
@@ -238,13 +335,14 @@
             let old = period.old.iter().filter(|(known, _)| is_on_route(known));
             let old = old.fold((0, 0), |total, (_, counts)| sum(total, counts));
             let new = period.new.iter().filter(|((known, target), _)| {
-                is_on_route(known) && target.as_ref().is_none_or(|id| !excluded.contains(&id))
+                is_on_route(known)
+                    && target.as_ref().is_none_or(|id| !excluded.canaries.contains(&id))
             });
             let new = new.fold((0, 0), |total, (_, counts)| sum(total, counts));
             if old.0 > 0 {
                 reference = old;
             }
-            if number >= first {
+            if number >= first && !excluded.periods.contains(&number) {
                 comparison.add(reference, new);
             }
         }
