Add found seeds of expired reports to the limit schedules

Cause: In 20,000 schedules, those with the largest excess had an issuer that counted too few nodes: all reports expired while it stood still, or a node was cut off for longer than 4 s. Nodes then took the whole rate for their equal shares.

--- a/crates/admission/tests/limit_schedules.rs
+++ b/crates/admission/tests/limit_schedules.rs
@@ -168,6 +168,15 @@
     assert_none(&run_schedules(seed..=seed, kinds));
 }
 
+// Guards against an issuer that counts too few nodes after all reports have expired while it stood
+// still: nodes then take the whole rate for their equal shares.
+#[rstest]
+#[case::leader_pause(&[Kind::LeaderPause], 3128)]
+#[case::all(&ALL_KINDS, 7911)]
+fn expired_reports_stay_within_the_limit(#[case] kinds: &'static [Kind], #[case] seed: u64) {
+    assert_none(&run_schedules(seed..=seed, kinds));
+}
+
 // Guards against a check that cannot fail.
 #[test]
 fn an_excess_is_detected() {
