Count the nodes of before while no report is handled

Cause: When the leader stood still for about 4 s, all reports were too old to count, so the number of nodes was 1. The leader's row and the first replies stated it, and nodes took the whole rate for their equal shares.

Change: While all reports have expired, and until nodes have had time to report again, the issuer counts those that it knew when it handled the last report.

--- a/crates/admission/src/limit_issuer.rs
+++ b/crates/admission/src/limit_issuer.rs
@@ -4,7 +4,7 @@
 use wagtailmoor_site::CustomerRule;
 
 use crate::reporter::{LIVE_TIMEOUT, Reporter};
-use crate::{LimitSettings, NodeAllowance, UsageReport};
+use crate::{LimitSettings, NodeAllowance, ReportTiming, UsageReport};
 
 /// Part of a limit that is divided equally among the nodes, in percent, so that the first requests
 /// at a node are admitted.
@@ -42,9 +42,12 @@
     accounts: SortedVec<CustomerId, Account>,
     /// Sum of the demand over all nodes whose report is not overdue.
     total_demand: SortedVec<CustomerId, f64>,
+    /// Start of the term, or of the time since this issuer last stood still.
     term_start: Instant,
-    /// Number of nodes that the previous issuer knew.
+    /// Number of nodes that the previous issuer knew, or this one before it stood still.
     nodes_before: u32,
+    /// When the last report was handled.
+    last_report: Instant,
 }
 
 impl LimitIssuer {
@@ -57,6 +60,7 @@
             total_demand: SortedVec::new(),
             term_start: Instant::default(),
             nodes_before: 0,
+            last_report: Instant::default(),
         }
     }
 
@@ -66,17 +70,27 @@
         self.reporters.clear();
         self.accounts.clear();
         self.total_demand.clear();
+        self.last_report = now;
         self.term_start = now;
         self.nodes_before = nodes_before;
     }
 
     /// Returns the number of nodes of the site. Until all nodes have had time to report, it is at
     /// least the number that the previous issuer knew: a limit that is divided among only the first
-    /// few nodes to report would be exceeded.
+    /// few nodes to report would be exceeded. The same applies while no report is handled at all.
     pub fn nodes(&self, now: Instant) -> u32 {
-        let live = self.reporters.values().filter(|reporter| reporter.is_live(now)).count();
+        let counted_at = match self.is_paused(now) {
+            true => self.last_report,
+            false => now,
+        };
+        let live = self.reporters.values().filter(|reporter| reporter.is_live(counted_at)).count();
         let live = u32::try_from(live).unwrap_or(u32::MAX);
-        live.max(self.expected_nodes(now))
+        live.max(self.expected_nodes(counted_at))
+    }
+
+    /// Returns whether all reports have expired, because this process stood still or reached no node.
+    fn is_paused(&self, now: Instant) -> bool {
+        now.saturating_since(self.last_report) >= ReportTiming::REPORT_LIFETIME
     }
 
     /// Returns the number of nodes that the previous issuer knew, as long as some of them may not have
@@ -104,6 +118,7 @@
         if self.reporters.get(node).is_some_and(|reporter| reporter.is_outdated(&usage)) {
             return;
         }
+        self.expect_nodes_after_pause(now);
         let limited = || rules().filter(|rule| rule.is_limited());
         self.add_accounts(limited());
         self.charge_overdue(now, limited());
@@ -129,6 +144,16 @@
         self.reporters.retain(|_, reporter| reporter.is_retained(now));
     }
 
+    /// Expects all nodes of before if all reports have expired. Otherwise a limit would be divided
+    /// among the first few nodes to report again.
+    fn expect_nodes_after_pause(&mut self, now: Instant) {
+        if self.is_paused(now) {
+            self.nodes_before = self.nodes(now);
+            self.term_start = now;
+        }
+        self.last_report = now;
+    }
+
     /// Adds the missing accounts.
     fn add_accounts<'c>(&mut self, limited: impl Iterator<Item = &'c CustomerRule>) {
         let start_part = match self.nodes_before {
