Share the surge of two tests of customers' limits

Cause: Two tests stated the same surge twice. A constant of rollouts gave a time that was seen on one busy machine as its reason.

Change: Site::surge_without_issuer holds the steps of both tests, with the same cases and bounds. The comment gives the reason without that time.

--- a/crates/admission/tests/limits.rs
+++ b/crates/admission/tests/limits.rs
@@ -124,6 +124,21 @@
         self.issuer.start_term(self.now, stored);
     }
 
+    /// Sends usual traffic, then five times as much: for `overload` with an issuer, for `gap` without
+    /// one, and for 6 s after that, with another issuer if it was `replaced`.
+    fn surge_without_issuer(&mut self, overload: Duration, gap: Duration, replaced: bool) {
+        let nodes = self.nodes.len();
+        let (even, all) = (vec![1; nodes], (0..nodes).collect::<Vec<_>>());
+        let usual_per_s = f64::from(self.rule.rate.get()) / 1.6;
+        self.send(Duration::from_secs(10), usual_per_s, &even, &[]);
+        self.send(overload, usual_per_s * 5.0, &even, &[]);
+        self.send(gap, usual_per_s * 5.0, &even, &all);
+        if replaced {
+            self.replace_issuer();
+        }
+        self.send(Duration::from_secs(6), usual_per_s * 5.0, &even, &[]);
+    }
+
     /// Returns the maximum number of requests admitted within any window.
     fn window_max(&self) -> u32 {
         let sums = self.admitted.iter().enumerate().map(|(index, (start, _))| {
@@ -256,15 +271,8 @@
     #[values(0, 1, 3)] overload_s: u64,
 ) {
     let mut site = Site::new(nodes, rate, burst, Duration::from_millis(150));
-    let even = vec![1; nodes];
-    let all: Vec<usize> = (0..nodes).collect();
-    let usual_per_s = f64::from(rate) / 1.6;
-    site.send(Duration::from_secs(10), usual_per_s, &even, &[]);
-    site.send(Duration::from_secs(overload_s), usual_per_s * 5.0, &even, &[]);
     // No node reaches an issuer until another leader is elected.
-    site.send(Duration::from_millis(gap_ms), usual_per_s * 5.0, &even, &all);
-    site.replace_issuer();
-    site.send(Duration::from_secs(6), usual_per_s * 5.0, &even, &[]);
+    site.surge_without_issuer(Duration::from_secs(overload_s), Duration::from_millis(gap_ms), true);
     let (window_max, allowed) = (site.window_max(), site.allowed());
     assert!(f64::from(window_max) <= allowed, "{window_max} of {allowed} in a window");
 }
@@ -283,13 +291,8 @@
     #[values(0, 1, 3)] overload_s: u64,
 ) {
     let mut site = Site::new(nodes, rate, burst, Duration::from_millis(150));
-    let even = vec![1; nodes];
-    let all: Vec<usize> = (0..nodes).collect();
-    let usual_per_s = f64::from(rate) / 1.6;
-    site.send(Duration::from_secs(10), usual_per_s, &even, &[]);
-    site.send(Duration::from_secs(overload_s), usual_per_s * 5.0, &even, &[]);
-    site.send(Duration::from_millis(pause_ms), usual_per_s * 5.0, &even, &all);
-    site.send(Duration::from_secs(6), usual_per_s * 5.0, &even, &[]);
+    let pause = Duration::from_millis(pause_ms);
+    site.surge_without_issuer(Duration::from_secs(overload_s), pause, false);
     let (window_max, allowed) = (site.window_max(), site.allowed());
     assert!(f64::from(window_max) <= allowed, "{window_max} of {allowed} in a window");
 }
--- a/crates/rollout/src/rollout_controller.rs
+++ b/crates/rollout/src/rollout_controller.rs
@@ -47,8 +47,8 @@
 const SETTLE_END_WITHOUT_EVIDENCE: f64 = 0.85;
 
 /// Part of the duration after which a version succeeds although it has no answer at all. Requests on
-/// a keyed back end first wait for the new owners of their keys, for 0.4 s on a busy machine, and a
-/// late shift ends at [`SHIFT_END_LATEST`].
+/// a keyed back end first wait for the new owners of their keys, and a late shift ends only at
+/// [`SHIFT_END_LATEST`].
 const SETTLE_END_WITHOUT_ANSWERS: f64 = 0.9;
 
 /// Shares of the steps of the shift. With the canary phase, the first two take 8 of 100 requests, so
