Log the decision on each request first, also for refused heads

Change: request, version, age and whether a source had confirmed the data stand right behind the event's name on the lines of requests and refusals; Refusal carries the decision on its head; the line of an attempt states the data by which its target was chosen; the counter decided-unconfirmed counts requests that were decided without a confirmation.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -402,15 +402,13 @@
             "the record of this request could not be stored",
         )
         .with_retry_after(Duration::from_secs(1)),
-        RecordRefusal::Duplicate { outcome, status, .. } => Refusal {
-            reason: Reason::Duplicate,
-            outcome,
-            retry_after: None,
-            detail: match status {
+        RecordRefusal::Duplicate { outcome, status, .. } => {
+            let detail = match status {
                 Some(status) => format!("the first request was answered with status {status}"),
                 None => "the first request may have run or is running".into(),
-            },
-        },
+            };
+            Refusal { outcome, ..Refusal::not_run(Reason::Duplicate, detail) }
+        }
     }
 }
 
@@ -456,6 +454,7 @@
         let config = ConfigBasis {
             version: self.propagation.configuration().version(),
             age: self.propagation.age(now).unwrap_or(Duration::MAX),
+            confirmed: self.propagation.age(now).is_some(),
             waited: Duration::ZERO,
         };
         Call {
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -368,7 +368,7 @@
         Outcome::NotRun => "no target ran the request",
         _ => "a target may have run the request",
     };
-    Refusal { reason, outcome: verdict.outcome, retry_after, detail: detail.into() }
+    Refusal { outcome: verdict.outcome, retry_after, ..Refusal::not_run(reason, detail) }
 }
 
 fn forward_response<G: Gateway + 'static>(
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -32,7 +32,7 @@
 pub use gateway::{AssignedTarget, Call, Gateway, RequestHead};
 pub use headers::{Credential, credential, single_value};
 pub use native_dialect::NativeDialect;
-pub use refusal::Refusal;
+pub use refusal::{HeadDecision, Refusal};
 pub use remainder_limits::RemainderLimits;
 pub use response_body::ResponseBody;
 pub use server::{FrontLimits, Server};
--- a/crates/front/src/refusal.rs
+++ b/crates/front/src/refusal.rs
@@ -1,5 +1,6 @@
 //! Refusals and their encoding as HTTP responses.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use serde::Serialize;
 use wagtailmoor_core::{Outcome, Reason};
 
+use crate::ConfigBasis;
 use crate::headers::{OUTCOME, REASON};
 
 /// A response that the front end sends in place of a target's response.
@@ -22,6 +24,17 @@
     pub retry_after: Option<Duration>,
     /// Human-readable explanation.
     pub detail: String,
+    /// The request and the configuration that refused it, if it was refused by its head.
+    pub decision: Option<Box<HeadDecision>>,
+}
+
+/// The decision on a request's head.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeadDecision {
+    /// Request id chosen by the client.
+    pub request_id: Option<Arc<str>>,
+    /// The configuration by which the head was decided.
+    pub config: ConfigBasis,
 }
 
 #[derive(Serialize)]
@@ -34,7 +47,13 @@
 impl Refusal {
     /// Creates the refusal of a request that was not sent to any target.
     pub fn not_run(reason: Reason, detail: impl Into<String>) -> Self {
-        Self { reason, outcome: Outcome::NotRun, retry_after: None, detail: detail.into() }
+        Self {
+            reason,
+            outcome: Outcome::NotRun,
+            retry_after: None,
+            detail: detail.into(),
+            decision: None,
+        }
     }
 
     /// Creates the refusal of a request whose fingerprint is known to crash targets.
@@ -54,6 +73,11 @@
         Self { retry_after: Some(retry_after), ..self }
     }
 
+    /// Adds the request and the configuration by which its head was decided.
+    pub fn with_decision(self, decision: HeadDecision) -> Self {
+        Self { decision: Some(Box::new(decision)), ..self }
+    }
+
     /// Returns the HTTP status for the reason and outcome. Clients repeat a request after a status
     /// that promises that it has not run, so only the outcome "not run" gets such a status.
     pub fn status(&self) -> StatusCode {
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
-use wagtailmoor_core::{Outcome, Reason};
+use wagtailmoor_core::Reason;
 
 use crate::body::{self, ClientFault, CollectedBody, FaultCell};
 use crate::checked_stream::{CheckedStream, ConnectionState, PipelineHandler};
@@ -346,10 +346,5 @@
 }
 
 fn client_fault_refusal(fault: ClientFault) -> Refusal {
-    Refusal {
-        reason: Reason::ClientTooSlow,
-        outcome: Outcome::NotRun,
-        retry_after: None,
-        detail: fault.to_string(),
-    }
+    Refusal::not_run(Reason::ClientTooSlow, fault.to_string())
 }
--- a/crates/router/src/confirmation_wait.rs
+++ b/crates/router/src/confirmation_wait.rs
@@ -17,17 +17,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NotConfirmed;
 
-/// Waits until the data of this node are confirmed, or no source of them can be reached.
+/// Waits until the data of this node are confirmed, or no source of them can be reached. Returns which
+/// of both lets a request be decided; never [`Confirmation::Pending`].
 ///
 /// # Errors
 ///
 /// `deadline` has passed before.
-pub(crate) async fn wait(shared: &Shared, deadline: Instant) -> Result<(), NotConfirmed> {
+pub(crate) async fn wait(shared: &Shared, deadline: Instant) -> Result<Confirmation, NotConfirmed> {
     loop {
         let confirmed = shared.data_confirmed.notified();
         let now = shared.now();
-        if shared.write().confirmation(now) != Confirmation::Pending {
-            return Ok(());
+        let confirmation = shared.write().confirmation(now);
+        if confirmation != Confirmation::Pending {
+            return Ok(confirmation);
         }
         if now >= deadline {
             return Err(NotConfirmed);
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -13,7 +13,7 @@
     AttemptId, BodyTimeout, Fingerprint, Observation, PlanSettings, RetryBudget, Verdict,
 };
 use wagtailmoor_front::{
-    AssignedTarget, Call, ConfigBasis, Dialect, Gateway, Refusal, RequestHead,
+    AssignedTarget, Call, ConfigBasis, Dialect, Gateway, HeadDecision, Refusal, RequestHead,
 };
 use wagtailmoor_rollout::InFlightGuard;
 use wagtailmoor_site::{KeyMatch, RouteMatch, RouteRule, SiteConfig};
@@ -21,6 +21,7 @@
 
 use crate::admission_control;
 use crate::confirmation_wait::{self, NotConfirmed};
+use crate::decision_gate::Confirmation;
 use crate::log_lines;
 use crate::rollouts;
 use crate::room_at_targets;
@@ -92,19 +93,32 @@
         Self { shared, dialect }
     }
 
+    /// Returns the configuration by which the head of a request is decided now.
+    fn basis(&self, received_at: Instant, confirmed: bool) -> ConfigBasis {
+        let now = self.shared.now();
+        let mut state = self.shared.write();
+        if !confirmed {
+            state.stats.count("decided-unconfirmed");
+        }
+        ConfigBasis {
+            version: state.config_version(),
+            age: state.source.age(now),
+            confirmed,
+            waited: now.saturating_since(received_at),
+        }
+    }
+
     /// Matches a request to a route by the current state.
-    fn decide(&self, head: &RequestHead<'_>, received_at: Instant) -> Result<Call, Refusal> {
+    fn decide(
+        &self,
+        head: &RequestHead<'_>,
+        received_at: Instant,
+        basis: ConfigBasis,
+    ) -> Result<Call, Refusal> {
         let now = self.shared.now();
         let mut state = self.shared.write();
         let RouterState {
-            config,
-            tables,
-            registry,
-            local_shares,
-            random,
-            shutdown_deadline,
-            source,
-            ..
+            config, tables, registry, local_shares, random, shutdown_deadline, ..
         } = &mut *state;
         let Some(config) = config else {
             let refusal = Refusal::not_run(Reason::NotReady, "no configuration is known yet");
@@ -137,11 +151,7 @@
             id: AttemptId::new(random.random()),
             request_id: head.request_id.map(Into::into),
             received_at,
-            config: ConfigBasis {
-                version: config.version(),
-                age: source.age(now),
-                waited: now.saturating_since(received_at),
-            },
+            config: basis,
             deadline,
             customer,
             weight: Weight::new(1),
@@ -236,11 +246,19 @@
         let received_at = self.now();
         let stated = head.deadline.map_or(CONFIRMATION_WAIT_MAX, ReportedDuration::get);
         let waited = confirmation_wait::wait(&self.shared, received_at + stated).await;
-        waited.map_err(|NotConfirmed| {
-            let detail = "the configuration of this node is not confirmed";
-            Refusal::not_run(Reason::NotReady, detail).with_retry_after(NOT_READY_RETRY_AFTER)
-        })?;
-        self.decide(head, received_at)
+        let basis = self.basis(received_at, waited == Ok(Confirmation::Current));
+        let decided = match waited {
+            Ok(_) => self.decide(head, received_at, basis),
+            Err(NotConfirmed) => {
+                let detail = "the configuration of this node is not confirmed";
+                let refusal = Refusal::not_run(Reason::NotReady, detail);
+                Err(refusal.with_retry_after(NOT_READY_RETRY_AFTER))
+            }
+        };
+        decided.map_err(|refusal| {
+            let request_id = head.request_id.map(Into::into);
+            refusal.with_decision(HeadDecision { request_id, config: basis })
+        })
     }
 
     fn check_fingerprint(
@@ -295,7 +313,7 @@
     ) -> Result<AssignedTarget<AttemptGuard>, Reason> {
         // The target must be one that the current data allow, also after a wait of this process.
         let waited = confirmation_wait::wait(&self.shared, call.deadline).await;
-        waited.map_err(|NotConfirmed| Reason::NotReady)?;
+        let confirmation = waited.map_err(|NotConfirmed| Reason::NotReady)?;
         let may_send = tried.is_empty()
             || room_at_targets::may_send_again(&mut self.shared.write(), self.now(), call);
         if !may_send {
@@ -305,8 +323,9 @@
             Some(key) => target_choice::find_owner(&self.shared, call, key, tried).await?,
             None => target_choice::pick(&self.shared, call, tried)?,
         };
-        log_lines::assigned(call, &target, &picked, tried.len(), &self.shared.read()).info();
         let now = self.now();
+        let event = log_lines::assigned(call, &target, &picked, tried.len(), &self.shared.read());
+        log_lines::with_confirmation(event, confirmation, &self.shared.read(), now).info();
         let mut state = self.shared.write();
         let in_flight = rollouts::start_attempt(&mut state, now, &target);
         let unanswered = room_at_targets::start(&mut state, now, call, &target, picked.expected);
--- a/crates/router/src/log_lines.rs
+++ b/crates/router/src/log_lines.rs
@@ -3,26 +3,48 @@
 use std::time::Duration;
 
 use wagtailmoor_admission::Picked;
-use wagtailmoor_core::{ConfigVersion, Instant, PartsPerMillion};
+use wagtailmoor_core::{Instant, PartsPerMillion};
 use wagtailmoor_dispatch::Verdict;
-use wagtailmoor_front::{Call, Refusal};
+use wagtailmoor_front::{Call, ConfigBasis, Refusal};
 use wagtailmoor_site::Target;
 use wagtailmoor_telemetry::Event;
 
+use crate::decision_gate::Confirmation;
 use crate::state::RouterState;
 
 /// Adds the version or age of the data on which a decision is based.
 pub(crate) fn with_inputs(event: Event, state: &RouterState, now: Instant) -> Event {
-    let version = state.config.as_ref().map_or(ConfigVersion::default(), |config| config.version());
     event
-        .field("config_version", version)
+        .field("config_version", state.config_version())
         .field("store_age_ms", state.source.age(now).as_millis())
         .field("leader_age_ms", now.saturating_since(state.leader_last_contact).as_millis())
 }
 
-fn with_call(event: Event, call: &Call) -> Event {
+/// Adds how old the data of this node are, and whether a source has confirmed them.
+pub(crate) fn with_confirmation(
+    event: Event,
+    confirmation: Confirmation,
+    state: &RouterState,
+    now: Instant,
+) -> Event {
     event
-        .field("request", call.request_id.as_deref().unwrap_or("-"))
+        .field("config_version", state.config_version())
+        .field("store_age_ms", state.source.age(now).as_millis())
+        .field("confirmed", confirmation == Confirmation::Current)
+}
+
+/// Adds a request and the configuration that decided it. These fields come first, since lines may be
+/// cut where they are collected.
+fn with_decision(event: Event, request_id: Option<&str>, config: &ConfigBasis) -> Event {
+    event
+        .field("request", request_id.unwrap_or("-"))
+        .field("decided_version", config.version)
+        .field("decided_age_ms", config.age.as_millis())
+        .field("confirmed", config.confirmed)
+}
+
+fn with_call(event: Event, call: &Call) -> Event {
+    with_decision(event, call.request_id.as_deref(), &call.config)
         .field("back_end", &call.back_end)
         .optional("customer", call.customer.as_ref())
         .optional("key", call.shard_key)
@@ -58,8 +80,6 @@
         .optional("status", verdict.status)
         .field("elapsed_ms", now.saturating_since(call.received_at).as_millis())
         .field("left_ms", call.deadline.saturating_since(now).as_millis())
-        .field("decided_version", call.config.version)
-        .field("decided_age_ms", call.config.age.as_millis())
         .field("decided_after_ms", call.config.waited.as_millis());
     with_inputs(event, state, now)
 }
@@ -71,9 +91,11 @@
     state: &RouterState,
     now: Instant,
 ) -> Event {
-    let event = match call {
-        Some(call) => with_call(Event::new("refusal"), call),
-        None => Event::new("refusal"),
+    let event = Event::new("refusal");
+    let event = match (call, &refusal.decision) {
+        (Some(call), _) => with_call(event, call),
+        (None, Some(head)) => with_decision(event, head.request_id.as_deref(), &head.config),
+        (None, None) => event,
     };
     let retry_after_ms = refusal.retry_after.map(|after| after.as_millis());
     let event = event
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -12,8 +12,8 @@
     LimitSettings, RoomAllocator, RoomGate, TargetPicker, TargetSpeeds,
 };
 use wagtailmoor_core::{
-    BackEndId, Clock, Incarnation, Instant, NodeId, PartsPerMillion, Priority, ShardKey, SortedVec,
-    StoreEra, TargetId,
+    BackEndId, Clock, ConfigVersion, Incarnation, Instant, NodeId, PartsPerMillion, Priority,
+    ShardKey, SortedVec, StoreEra, TargetId,
 };
 use wagtailmoor_dispatch::{CrashLedger, CrashSettings, LedgerVersion, UnansweredRequests};
 use wagtailmoor_limits::RetryBudget;
@@ -254,6 +254,11 @@
         !self.is_stopping() && self.config.is_some()
     }
 
+    /// Returns the version of the configuration in force; zero without one.
+    pub(crate) fn config_version(&self) -> ConfigVersion {
+        self.config.as_ref().map_or(ConfigVersion::default(), SiteConfig::version)
+    }
+
     /// Returns whether requests may be decided by this node's data. A node without a configuration
     /// refuses requests at once.
     pub(crate) fn confirmation(&mut self, now: Instant) -> Confirmation {
