Handle all results of calls for the store's rows in one type

Cause: the age of a node's data, its rows, the exception of the decision gate and the retries of the feeds are kept by three loops with sockets and timers, so no test can drive them together through orders of failures.

Change: Replica takes a time and a result and returns what follows; the loops in feeds and row_source only call the store and other nodes. PeerPolling and TableFeed hold the calls in flight and the state of one table's feed. No decision changes.

--- a/crates/router/src/confirmation_wait.rs
+++ b/crates/router/src/confirmation_wait.rs
@@ -71,12 +71,12 @@
     /// Records a check. Returns whether the requests of this node are decided by old data from now on.
     fn record_check(&self, now: Instant) -> bool {
         let mut state = self.shared.write();
-        let in_vain = state.decision_gate.record_check(now);
+        let in_vain = state.replica.record_check(now);
         if in_vain {
             state.stats.count("data-unconfirmed");
             Event::new("data-unconfirmed")
-                .field("store_age_ms", state.source.age(now).as_millis())
-                .field("peer_failures", state.source.peer_failures())
+                .field("store_age_ms", state.replica.age(now).as_millis())
+                .field("peer_failures", state.replica.source().peer_failures())
                 .warn();
         }
         in_vain
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -4,261 +4,136 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use rand::RngExt;
 use tokio::time::sleep;
 use wagtailmoor_admission::ReportTiming;
 use wagtailmoor_core::{BackEndId, ConfigVersion, Instant, RowVersion};
 use wagtailmoor_ranges::AssignmentTable;
 use wagtailmoor_rollout::RolloutRow;
 use wagtailmoor_site::{ElementKind, RegistryChange, UnusableReport};
-use wagtailmoor_store::{ChangeFeed, CompressedPage, CompressedRow, FeedError, FeedRow, StoredRow};
+use wagtailmoor_store::{ChangeFeed, CompressedRow, FeedError, FeedPage, FeedRow, StoredRow};
 use wagtailmoor_telemetry::Event;
 
-use crate::AnswerClock;
+use crate::replica_table::ReplicaTable;
 use crate::rollouts::{self, ROW_PREFIX};
 use crate::row_origin::{RowOrigin, RowSource};
 use crate::site_decoder::{OperatorChange, SiteDecoder};
 use crate::state::{RouterState, Shared};
 use crate::stats::Stats;
+use crate::table_feed::FeedCall;
 
 /// Table in which the leader stores the owners of ranges.
 pub(crate) const RANGES_TABLE: &str = "ranges";
 
-/// A feed call on the tables of operators and targets waits at most this long for a change. A
-/// connection may fail without notice, and other nodes rely on this one; only an answer shows that
-/// it still receives changes.
-const FEED_WAIT: Duration = Duration::from_millis(400);
-
-/// Wait of a feed call on the table of owners. A request to a previous owner is refused, and is
-/// sent to the new one later.
-const RANGES_FEED_WAIT: Duration = Duration::from_secs(4);
-
-/// Pause after an answer with changes, so that the next answer contains a series of changes. Cold
-/// targets change their entries with every heartbeat.
-const CHANGE_PAUSE: Duration = Duration::from_millis(200);
-
-/// The same pause for the table of owners, shorter because requests wait for the next owner of a
-/// key.
-const RANGES_CHANGE_PAUSE: Duration = Duration::from_millis(60);
-
-/// Pause after an answer without changes. It limits the rate of calls to a store that does not
-/// wait.
-const EMPTY_PAUSE: Duration = Duration::from_millis(20);
-
-/// Interval at which a node checks whether it must follow the store.
-const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Base of the pause after failed calls; each consecutive failure doubles the pause.
-const RETRY_PAUSE_BASE: Duration = Duration::from_millis(150);
-
-/// Longest pause after failed calls of the leader or a relay, since other nodes wait for it.
-const RELAY_RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
-
-/// Pause of all other nodes from the second consecutive failure on. There are many of these, and
-/// their relay sends them changes as soon as the store is reachable again.
-const RETRY_PAUSE_OTHERS: Duration = Duration::from_millis(2_500);
-
-/// A node whose rows of a table are older than the feed wait plus this margin is starting to
-/// follow the table again.
-const RESTART_MARGIN: Duration = Duration::from_millis(800);
-
-/// Consecutive failures after which the store counts as unreachable.
-const STORE_DOWN_FAILURES: u32 = 2;
-
 /// Follows one table until the process stops.
 pub(crate) async fn follow<F: ChangeFeed, S: SiteDecoder>(
     shared: Shared,
     feed: Rc<F>,
     decoder: Rc<S>,
-    table: &'static str,
+    table: ReplicaTable,
 ) {
-    let mut after: Option<RowVersion> = None;
-    let mut failures = 0;
-    let mut clock = AnswerClock::default();
-    let (wait, change_pause) = match table {
-        RANGES_TABLE => (RANGES_FEED_WAIT, RANGES_CHANGE_PAUSE),
-        _ => (FEED_WAIT, CHANGE_PAUSE),
-    };
+    let name = store_name::<S>(table);
     loop {
-        if !is_followed(&shared, table) {
-            failures = 0;
-            clear_outage(&shared);
-            sleep(SOURCE_CHECK_INTERVAL).await;
-            continue;
-        }
-        // While the store is unreachable, only one table's feed is retried to detect its return.
-        if failures > 0 && shared.read().store_down.is_some_and(|other| other != table) {
-            sleep(SOURCE_CHECK_INTERVAL).await;
-            continue;
-        }
-        // Rows that another node relayed need not be read again.
-        let relayed = shared.read().rows.version(table);
-        after = after.or(Some(relayed).filter(|version| version.get() > 0));
-        after = after.map(|after| after.max(relayed));
         let sent_at = shared.now();
-        let page = match after {
-            None => feed.snapshot(table).await,
-            Some(after) => {
-                let wait = match clock.needs_reference(sent_at) {
-                    true => Duration::ZERO,
-                    false => feed_wait(&shared, table, wait),
-                };
-                feed.changes(table, after, wait).await
+        let page = match next_call(&shared, sent_at, table) {
+            FeedCall::Pause(pause) => {
+                sleep(pause).await;
+                continue;
             }
+            FeedCall::Snapshot => feed.snapshot(name).await,
+            FeedCall::Changes { after, wait } => feed.changes(name, after, wait).await,
         };
         match page {
             Ok(page) => {
-                if failures >= STORE_DOWN_FAILURES {
-                    on_store_recovery(&shared, table);
-                }
-                failures = 0;
-                let received_at = shared.now();
-                let as_of = clock.date(sent_at, received_at, page.store_time);
-                let origin = RowOrigin { source: RowSource::Store, as_of, received_at };
-                let changed = !page.rows.is_empty();
-                let page = match after {
-                    None => CompressedPage::compress_listing(page),
-                    Some(_) => CompressedPage::compress(page),
-                };
-                after = Some(page.version);
-                apply(&shared, &*decoder, table, origin, page);
-                record_answer::<S>(&shared, table, as_of);
-                sleep(if changed { change_pause } else { EMPTY_PAUSE }).await;
+                let pause = on_page(&shared, &*decoder, table, sent_at, page);
+                sleep(pause).await;
             }
             Err(FeedError::HistoryLost) => {
-                Event::new("history-lost").field("table", table).warn();
-                after = None;
-                shared.write().rows.reset_version(table);
+                Event::new("history-lost").field("table", name).warn();
+                shared.write().replica.on_history_lost(table);
             }
             Err(FeedError::Unavailable { cause }) => {
-                failures += 1;
-                on_call_failed(&shared, table, failures, sent_at, &cause);
-                sleep(retry_pause(&shared, failures)).await;
+                let pause = on_call_failed::<S>(&shared, table, sent_at, &cause);
+                sleep(pause).await;
             }
         }
     }
 }
 
-/// Returns whether this node must follow a table itself. Other nodes relay the owners as long as
-/// the leader is in contact with this node, even if the leader cannot reach the store.
-fn is_followed(shared: &Shared, table: &str) -> bool {
-    let now = shared.now();
-    let state = shared.read();
-    let has_leader_contact =
-        now.saturating_since(state.leader_last_contact) < ReportTiming::REPLY_LIFETIME;
-    let is_relayed = table == RANGES_TABLE && has_leader_contact && !state.leader_view(now).is_self;
-    state.follows_store(now) && !is_relayed
-}
-
-/// Returns how long a feed call waits for changes. A node that starts to follow the store again
-/// does not wait: others, and requests, rely on its data as soon as the store has answered for each
-/// table.
-fn feed_wait(shared: &Shared, table: &str, wait: Duration) -> Duration {
-    let (now, state) = (shared.now(), shared.read());
-    let confirmed_to = state.tables_confirmed_to.get(table).copied().unwrap_or_default();
-    match now.saturating_since(confirmed_to) > wait + RESTART_MARGIN {
-        true => Duration::ZERO,
-        false => wait,
+/// Returns the name of a table in the store.
+fn store_name<S: SiteDecoder>(table: ReplicaTable) -> &'static str {
+    match table {
+        ReplicaTable::Operators => S::OPERATOR_TABLE,
+        ReplicaTable::Targets => S::TARGET_TABLE,
+        ReplicaTable::Ranges => RANGES_TABLE,
     }
 }
 
-/// Clears the outage on a node that gets changes from another node and does not call the store.
-fn clear_outage(shared: &Shared) {
-    let now = shared.now();
+fn next_call(shared: &Shared, now: Instant, table: ReplicaTable) -> FeedCall {
     let mut state = shared.write();
-    if !state.follows_store(now) {
-        state.store_down = None;
-    }
-}
-
-/// Returns the pause after a failed call, with jitter so that nodes do not all retry at once.
-fn retry_pause(shared: &Shared, failures: u32) -> Duration {
-    let now = shared.now();
-    let state = shared.read();
-    let others_depend = state.source.is_relay() || state.leader_view(now).is_self;
-    let doubled = RETRY_PAUSE_BASE * 2u32.saturating_pow(failures.min(8));
-    let is_cut_off = state.source.is_cut_off(now);
-    drop(state);
-    let longest = match others_depend {
-        // The call may have failed because this process stood still; requests wait for the next one.
-        _ if is_cut_off && failures == 1 => return EMPTY_PAUSE,
-        true => doubled.min(RELAY_RETRY_PAUSE_MAX),
-        // A single failure may concern only an old connection.
-        false if failures < STORE_DOWN_FAILURES => doubled,
-        false => RETRY_PAUSE_OTHERS,
-    };
-    longest.mul_f64(shared.write().random.random_range(0.5..1.0))
+    let leader = state.leader_view(now);
+    let has_leader_contact =
+        now.saturating_since(state.leader_last_contact) < ReportTiming::REPLY_LIFETIME;
+    let leader_relays = has_leader_contact && !leader.is_self;
+    state.replica.next_feed_call(now, table, leader, leader_relays)
 }
 
-/// Records that all rows of a table up to an instant are in force. The older one of the tables of
-/// operators and targets determines the age of this node's data.
-fn record_answer<S: SiteDecoder>(shared: &Shared, table: &'static str, as_of: Instant) {
+/// Applies an answer of the store; returns the pause before the next call.
+fn on_page<S: SiteDecoder>(
+    shared: &Shared,
+    decoder: &S,
+    table: ReplicaTable,
+    sent_at: Instant,
+    page: FeedPage,
+) -> Duration {
+    let received_at = shared.now();
     let mut state = shared.write();
-    state.tables_confirmed_to.insert(table, as_of);
-    let confirmed_to = [S::OPERATOR_TABLE, S::TARGET_TABLE]
-        .map(|table| state.tables_confirmed_to.get(table).copied().unwrap_or_default());
-    let is_newer = state.source.record_store_answer(confirmed_to[0].min(confirmed_to[1]));
+    state.observe_era(received_at, page.version.era());
+    let answer = state.replica.on_feed_page(received_at, table, sent_at, page);
+    if let Some(age) = answer.recovered_after {
+        state.registry.on_store_recovery(received_at);
+        let name = store_name::<S>(table);
+        Event::new("store-regained").field("table", name).field("away_ms", age.as_millis()).info();
+    }
     drop(state);
-    if is_newer {
+    let origin = RowOrigin { source: RowSource::Store, as_of: answer.as_of, received_at };
+    apply_rows(shared, decoder, table, origin, &answer.rows);
+    if answer.confirms {
         shared.data_confirmed.notify_waiters();
     }
+    answer.pause
 }
 
-fn on_call_failed(
+/// Records a failed call of the store; returns the pause before the next one.
+fn on_call_failed<S: SiteDecoder>(
     shared: &Shared,
-    table: &'static str,
-    failures: u32,
+    table: ReplicaTable,
     sent_at: Instant,
     cause: &str,
-) {
+) -> Duration {
     let now = shared.now();
     let mut state = shared.write();
+    let state = &mut *state;
     state.stats.count("store-call-failed");
     let leader = state.leader_view(now);
-    let could_relay = state.source.can_relay(now, leader);
-    state.source.record_store_failure();
-    state.decision_gate.record_failure(now, sent_at);
-    if could_relay && !state.source.can_relay(now, leader) {
+    let failure = state.replica.on_feed_failure(now, table, sent_at, leader, &mut state.random);
+    if failure.stops_relaying {
         // Wakes the pending calls of other nodes, so that these switch to another source at once.
         shared.routes_changed.notify_waiters();
     }
-    if failures >= STORE_DOWN_FAILURES && state.store_down.is_none() {
-        state.store_down = Some(table);
-        Event::new("store-lost").field("table", table).field("cause", cause).warn();
+    if failure.store_lost {
+        let name = store_name::<S>(table);
+        Event::new("store-lost").field("table", name).field("cause", cause).warn();
     }
-}
-
-fn on_store_recovery(shared: &Shared, table: &str) {
-    let now = shared.now();
-    let mut state = shared.write();
-    let outage_ms = state.source.age(now).as_millis();
-    state.store_down = None;
-    state.registry.on_store_recovery(now);
-    Event::new("store-regained").field("table", table).field("away_ms", outage_ms).info();
-}
-
-/// Applies rows of a table, from the store or from another node.
-pub(crate) fn apply<S: SiteDecoder>(
-    shared: &Shared,
-    decoder: &S,
-    table: &str,
-    origin: RowOrigin,
-    page: CompressedPage,
-) {
-    let now = shared.now();
-    let mut state = shared.write();
-    state.observe_era(now, page.version.era());
-    let newer = state.rows.merge(now, table, page);
-    drop(state);
-    apply_rows(shared, decoder, table, origin, &newer);
+    failure.pause
 }
 
 /// Applies rows that went back when the store was restored and were not written again in time.
 pub(crate) fn apply_due<S: SiteDecoder>(shared: &Shared, decoder: &S) {
-    for table in [S::OPERATOR_TABLE, S::TARGET_TABLE, RANGES_TABLE] {
-        let due = shared.write().rows.take_due(shared.now(), table);
+    for table in ReplicaTable::ALL {
+        let due = shared.write().replica.take_due(shared.now(), table);
         if !due.is_empty() {
-            Event::new("restored-rows").field("table", table).field("rows", due.len()).info();
+            let name = store_name::<S>(table);
+            Event::new("restored-rows").field("table", name).field("rows", due.len()).info();
         }
         let now = shared.now();
         let origin = RowOrigin { source: RowSource::OwnCopy, as_of: now, received_at: now };
@@ -266,18 +141,21 @@
     }
 }
 
-fn apply_rows<S: SiteDecoder>(
+/// Applies rows of a table, from the store or from another node.
+pub(crate) fn apply_rows<S: SiteDecoder>(
     shared: &Shared,
     decoder: &S,
-    table: &str,
+    table: ReplicaTable,
     origin: RowOrigin,
     rows: &[CompressedRow],
 ) {
     for compressed in rows {
         match compressed.decompress() {
-            Ok(row) if table == S::OPERATOR_TABLE => apply_operator(shared, decoder, origin, &row),
-            Ok(row) if table == S::TARGET_TABLE => apply_target(shared, decoder, &row),
-            Ok(row) => apply_ranges(shared, &row),
+            Ok(row) => match table {
+                ReplicaTable::Operators => apply_operator(shared, decoder, origin, &row),
+                ReplicaTable::Targets => apply_target(shared, decoder, &row),
+                ReplicaTable::Ranges => apply_ranges(shared, &row),
+            },
             Err(error) => {
                 let mut state = shared.write();
                 log_unusable_row(
@@ -313,7 +191,7 @@
                     .field("source", origin.source)
                     .field("age_ms", origin.received_at.saturating_since(origin.as_of).as_millis())
                     .field("work_us", now.saturating_since(origin.received_at).as_micros())
-                    .field("store_age_ms", state.source.age(now).as_millis())
+                    .field("store_age_ms", state.replica.age(now).as_millis())
                     .info();
             }
         }
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -102,7 +102,7 @@
         }
         ConfigBasis {
             version: state.config_version(),
-            age: state.source.age(now),
+            age: state.replica.age(now),
             confirmed,
             waited: now.saturating_since(received_at),
         }
--- a/crates/router/src/leader_loop.rs
+++ b/crates/router/src/leader_loop.rs
@@ -39,7 +39,7 @@
     let jitter = shared.write().random.random_range(0.0..1.0);
     sleep(START_JITTER_MAX.mul_f64(jitter)).await;
     let mut term = None;
-    let delayed = shared.settings.first_start && !shared.read().source.is_candidate();
+    let delayed = shared.settings.first_start && !shared.read().replica.source().is_candidate();
     if delayed {
         sleep(NON_CANDIDATE_START_DELAY).await;
     }
@@ -48,7 +48,7 @@
         let now = shared.now();
         let action = {
             let mut state = shared.write();
-            let candidate = state.source.is_candidate();
+            let candidate = state.replica.source().is_candidate();
             let timeout = match candidate {
                 true => ReportTiming::LEADER_TIMEOUT,
                 false => LEADER_TIMEOUT_NON_CANDIDATE,
@@ -101,7 +101,7 @@
     let needed = {
         let state = shared.read();
         let leads = state.lease.authority(shared.now()).is_some();
-        let candidate = state.source.is_candidate();
+        let candidate = state.replica.source().is_candidate();
         state.leader_renewal_overdue && candidate && !leads
     };
     if needed {
--- a/crates/router/src/log_lines.rs
+++ b/crates/router/src/log_lines.rs
@@ -16,7 +16,7 @@
 pub(crate) fn with_inputs(event: Event, state: &RouterState, now: Instant) -> Event {
     event
         .field("config_version", state.config_version())
-        .field("store_age_ms", state.source.age(now).as_millis())
+        .field("store_age_ms", state.replica.age(now).as_millis())
         .field("leader_age_ms", now.saturating_since(state.leader_last_contact).as_millis())
 }
 
@@ -29,7 +29,7 @@
 ) -> Event {
     event
         .field("config_version", state.config_version())
-        .field("store_age_ms", state.source.age(now).as_millis())
+        .field("store_age_ms", state.replica.age(now).as_millis())
         .field("confirmed", confirmation == Confirmation::Current)
 }
 
--- a/crates/router/src/node_status.rs
+++ b/crates/router/src/node_status.rs
@@ -11,7 +11,7 @@
 use wagtailmoor_rollout::RolloutPhase;
 use wagtailmoor_site::{CustomerRule, Target, TargetState};
 
-use crate::feeds::RANGES_TABLE;
+use crate::replica_table::ReplicaTable;
 use crate::rollouts::Rollouts;
 use crate::state::{RouterState, SharedState};
 
@@ -141,9 +141,9 @@
             incarnation: settings.incarnation,
             ready: state.is_ready(),
             config_version: state.config.as_ref().map(|config| config.version()),
-            store_age_ms: millis(state.source.age(now)),
+            store_age_ms: millis(state.replica.age(now)),
             leader: leader(&state, now),
-            owners_version: state.rows.version(RANGES_TABLE),
+            owners_version: state.replica.version(ReplicaTable::Ranges),
             ranges: state.tables.iter().flat_map(|(id, table)| ranges(id, table)).collect(),
             customers: customers(&state),
             rollouts: rollouts(&state, now),
--- a/crates/router/src/peer_link.rs
+++ b/crates/router/src/peer_link.rs
@@ -20,8 +20,9 @@
 use wagtailmoor_telemetry::{MeteredStream, TrafficMeter};
 
 use crate::peer_service::{
-    KnownVersions, LeaderReply, MissingRows, NodeReport, RouterPeer, RouterPeerClient, Stopping,
+    LeaderReply, NodeReport, RelayedRows, RouterPeer, RouterPeerClient, Stopping,
 };
+use crate::replica_messages::KnownVersions;
 use crate::state::{RouterState, Shared};
 use crate::zone_traffic::TrafficKind;
 
@@ -38,7 +39,7 @@
 /// [`Stopping`].
 pub(crate) enum PeerCall {
     Report(Box<NodeReport>, oneshot::Sender<LeaderReply>),
-    Rows(KnownVersions, oneshot::Sender<MissingRows>),
+    Rows(KnownVersions, oneshot::Sender<RelayedRows>),
 }
 
 #[derive(Clone)]
@@ -53,7 +54,7 @@
         answer.await.map_err(|_| Stopping)
     }
 
-    async fn rows(self, _: Context, known: KnownVersions) -> Result<MissingRows, Stopping> {
+    async fn rows(self, _: Context, known: KnownVersions) -> Result<RelayedRows, Stopping> {
         let (reply, answer) = oneshot::channel();
         self.calls.send(PeerCall::Rows(known, reply)).map_err(|_| Stopping)?;
         answer.await.map_err(|_| Stopping)
@@ -100,7 +101,7 @@
     }
 
     /// Asks another node for rows; `None` if it does not answer in time.
-    pub(crate) async fn rows(&self, peer: SocketAddr, known: KnownVersions) -> Option<MissingRows> {
+    pub(crate) async fn rows(&self, peer: SocketAddr, known: KnownVersions) -> Option<RelayedRows> {
         let key = (TrafficKind::Rows, peer);
         let call = async {
             let stub = self.stub(key).await?;
@@ -128,9 +129,9 @@
     /// Returns the meter of a peer's zone. The zone is not known before the list of nodes is.
     fn meter(&self, kind: TrafficKind, peer: SocketAddr) -> TrafficMeter {
         let mut state = self.shared.write();
-        let RouterState { source, traffic, .. } = &mut *state;
+        let RouterState { replica, traffic, .. } = &mut *state;
         let unknown = || UNKNOWN_ZONE.parse().expect("a literal id is valid");
-        let zone = source.zone_of(peer).cloned().unwrap_or_else(unknown);
+        let zone = replica.source().zone_of(peer).cloned().unwrap_or_else(unknown);
         traffic.meter(kind, &zone)
     }
 
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -1,7 +1,5 @@
 //! The `tarpc` service between router processes.
 
-use std::time::Duration;
-
 use snafu::Snafu;
 use wagtailmoor_admission::{
     AdmittedShares, BackEndDemand, NodeAllowance, RoomReply, RoomReport, TargetObservations,
@@ -11,10 +9,10 @@
 use wagtailmoor_derive::value;
 use wagtailmoor_dispatch::{LedgerVersion, SuspectReport, SuspectUpdate};
 use wagtailmoor_rollout::{RolloutDirective, RolloutReport};
-use wagtailmoor_store::CompressedPage;
 
 use crate::NodeAddress;
 use crate::leader_lease::LeaderRow;
+use crate::replica_messages::{KnownVersions, MissingRows};
 
 /// The called node is stopping and does not answer.
 #[value]
@@ -82,39 +80,12 @@
     pub(crate) room: RoomReply,
 }
 
-/// Versions up to which a node has the tables of the store, and their age.
-#[value]
-pub(crate) struct KnownVersions {
-    pub(crate) operators: RowVersion,
-    pub(crate) targets: RowVersion,
-    pub(crate) ranges: RowVersion,
-    /// Age of the calling node's data when it called.
-    pub(crate) age: Duration,
-}
-
-/// Rows that are newer than the caller's versions.
+/// The answer to a call for rows.
 #[value]
-pub(crate) struct MissingRows {
-    pub(crate) operators: CompressedPage,
-    pub(crate) targets: CompressedPage,
-    pub(crate) ranges: CompressedPage,
+pub(crate) struct RelayedRows {
+    pub(crate) rows: MissingRows,
     /// The newest leader's row that the answering node knows.
     pub(crate) leader: Option<ObservedLeader>,
-    /// Whether the answering node receives changes itself.
-    pub(crate) can_relay: bool,
-    /// Age of the answering node's data.
-    pub(crate) store_age: Duration,
-    /// Whether the answering node's data come from the leader, or from a relay in its place.
-    pub(crate) designated_origin: bool,
-    /// How long the answering node waited for changes before it answered.
-    pub(crate) waited: Duration,
-}
-
-impl MissingRows {
-    /// Returns whether the caller has all rows.
-    pub(crate) fn is_empty(&self) -> bool {
-        [&self.operators, &self.targets, &self.ranges].iter().all(|page| page.is_empty())
-    }
 }
 
 /// The newest leader's row that a node knows.
@@ -131,5 +102,5 @@
     async fn report(report: NodeReport) -> Result<LeaderReply, Stopping>;
     /// Returns the rows of the store that the caller does not have. If there are none, waits for a
     /// limited time for a change, or until the called node's data are younger than the caller's.
-    async fn rows(known: KnownVersions) -> Result<MissingRows, Stopping>;
+    async fn rows(known: KnownVersions) -> Result<RelayedRows, Stopping>;
 }
--- /dev/null
+++ b/crates/router/src/replica.rs
@@ -0,0 +1,342 @@
+//! This node's copy of the store's tables, and whether requests may be decided by it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use wagtailmoor_core::{Instant, RowVersion};
+use wagtailmoor_store::{CompressedPage, CompressedRow, FeedPage};
+
+use crate::peer_polling::PendingCall;
+use crate::replica_messages::{KnownVersions, MissingRows};
+use crate::replica_table::ReplicaTable;
+use crate::table_feed::{FeedCall, TableFeed};
+use crate::{
+    ChangeSource, Confirmation, DecisionGate, LeaderView, NodeAddress, PeerFailure, RowCache,
+};
+
+/// Pause after an answer with changes, so that the next answer contains a series of changes. Cold
+/// targets change their entries with every heartbeat.
+const CHANGE_PAUSE: Duration = Duration::from_millis(200);
+
+/// The same pause for the table of owners, shorter because requests wait for the next owner of a
+/// key.
+const RANGES_CHANGE_PAUSE: Duration = Duration::from_millis(60);
+
+/// Pause after an answer without changes. It limits the rate of calls to a store that does not
+/// wait.
+const EMPTY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Interval at which a node checks whether it must follow the store.
+const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Base of the pause after failed calls; each consecutive failure doubles the pause.
+const RETRY_PAUSE_BASE: Duration = Duration::from_millis(150);
+
+/// Longest pause after failed calls of the leader or a relay, since other nodes wait for it.
+const RELAY_RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// Pause of all other nodes from the second consecutive failure on. There are many of these, and
+/// their relay sends them changes as soon as the store is reachable again.
+const RETRY_PAUSE_OTHERS: Duration = Duration::from_millis(2_500);
+
+/// Consecutive failures after which the store counts as unreachable.
+const STORE_DOWN_FAILURES: u32 = 2;
+
+/// A node holds a call for at most this long while it has no changes for the caller. This bounds
+/// the time until the caller detects that the node no longer receives changes.
+pub(crate) const RELAY_WAIT: Duration = Duration::from_millis(400);
+
+/// This node's copy of the store's tables, where it gets changes, and whether requests may be decided
+/// by it.
+///
+/// The loops that call the store and other nodes hold no state of their own about the data: each
+/// result of a call is handled here.
+#[derive(Debug)]
+pub struct Replica {
+    rows: RowCache,
+    source: ChangeSource,
+    gate: DecisionGate,
+    feeds: [TableFeed; 3],
+    /// The table whose feed is retried while the store is unreachable; `None` while it answers.
+    store_down: Option<ReplicaTable>,
+}
+
+/// What follows from an answer of the store.
+#[derive(Debug)]
+pub struct FeedAnswer {
+    /// Rows that take effect now.
+    pub rows: Vec<CompressedRow>,
+    /// The store's rows are complete up to this instant.
+    pub as_of: Instant,
+    /// Time until the next call.
+    pub pause: Duration,
+    /// Whether the store was unreachable before, and how old the data were then.
+    pub recovered_after: Option<Duration>,
+    /// Whether the data of this node are younger than before.
+    pub confirms: bool,
+}
+
+/// What follows from a call of the store that failed.
+#[derive(Clone, Copy, Debug)]
+pub struct FeedFailure {
+    /// Time until the next call.
+    pub pause: Duration,
+    /// Whether this node can no longer relay changes to others.
+    pub stops_relaying: bool,
+    /// Whether the store counts as unreachable from now on.
+    pub store_lost: bool,
+}
+
+/// What follows from an answer of another node.
+#[derive(Debug)]
+pub struct PeerRows {
+    /// Rows of each table that take effect now, in the order of [`ReplicaTable::ALL`].
+    pub rows: [Vec<CompressedRow>; 3],
+    /// The rows are complete up to this instant.
+    pub as_of: Instant,
+    /// Whether the answering node follows the store, itself or through others.
+    pub confirms: bool,
+}
+
+impl Replica {
+    /// Creates an empty copy. `synced_to` is the instant up to which it counts as complete, and
+    /// `apply_time` the time within which changes must be in force.
+    pub fn new(
+        own: NodeAddress,
+        seeds: Vec<SocketAddr>,
+        synced_to: Instant,
+        apply_time: Duration,
+    ) -> Self {
+        Self {
+            rows: RowCache::default(),
+            source: ChangeSource::new(own, seeds, synced_to),
+            gate: DecisionGate::new(apply_time),
+            feeds: ReplicaTable::ALL.map(TableFeed::new),
+            store_down: None,
+        }
+    }
+
+    /// Returns where this node gets changes.
+    pub fn source(&self) -> &ChangeSource {
+        &self.source
+    }
+
+    /// Replaces the list of the site's nodes.
+    pub fn set_nodes(&mut self, nodes: Vec<NodeAddress>) {
+        self.source.set_nodes(nodes);
+    }
+
+    /// Returns the age of this node's data.
+    pub fn age(&self, now: Instant) -> Duration {
+        self.source.age(now)
+    }
+
+    /// Returns the version up to which a table is known.
+    pub fn version(&self, table: ReplicaTable) -> RowVersion {
+        self.rows.version(table.cache_name())
+    }
+
+    /// Returns whether requests may be decided by this node's data.
+    pub fn confirmation(&mut self, now: Instant) -> Confirmation {
+        self.gate.check(now, self.source.age(now))
+    }
+
+    /// Records a check of a request that waits for a confirmation. Returns whether requests have waited
+    /// in vain and are decided by old data from now on.
+    pub fn record_check(&mut self, now: Instant) -> bool {
+        self.gate.record_check(now)
+    }
+
+    /// Returns the next call of a table's feed. `leader_relays_ranges` states whether other nodes send
+    /// the owners of ranges as long as the leader is in contact, even if it cannot reach the store.
+    pub fn next_feed_call(
+        &mut self,
+        now: Instant,
+        table: ReplicaTable,
+        leader: LeaderView,
+        leader_relays_ranges: bool,
+    ) -> FeedCall {
+        let is_relayed = table == ReplicaTable::Ranges && leader_relays_ranges;
+        let follows_store = self.source.follows_store(now, leader);
+        let relayed = self.version(table);
+        let feed = &mut self.feeds[table as usize];
+        if !follows_store || is_relayed {
+            feed.clear_failures();
+            if !follows_store {
+                self.store_down = None;
+            }
+            return FeedCall::Pause(SOURCE_CHECK_INTERVAL);
+        }
+        // While the store is unreachable, only one table's feed is retried to detect its return.
+        if feed.failures() > 0 && self.store_down.is_some_and(|other| other != table) {
+            return FeedCall::Pause(SOURCE_CHECK_INTERVAL);
+        }
+        feed.next_call(now, relayed)
+    }
+
+    /// Handles an answer of the store to a call that was sent at `sent_at`.
+    pub fn on_feed_page(
+        &mut self,
+        now: Instant,
+        table: ReplicaTable,
+        sent_at: Instant,
+        page: FeedPage,
+    ) -> FeedAnswer {
+        let feed = &mut self.feeds[table as usize];
+        let recovered = feed.failures() >= STORE_DOWN_FAILURES;
+        let recovered_after = recovered.then(|| self.source.age(now));
+        if recovered {
+            self.store_down = None;
+        }
+        let changed = !page.rows.is_empty();
+        let is_listing = feed.reads_listing();
+        let as_of = feed.on_page(sent_at, now, &page);
+        let page = match is_listing {
+            true => CompressedPage::compress_listing(page),
+            false => CompressedPage::compress(page),
+        };
+        let rows = self.rows.merge(now, table.cache_name(), page);
+        let confirmed_to =
+            ReplicaTable::DECISIVE.map(|table| self.feeds[table as usize].confirmed_to());
+        let confirms = self.source.record_store_answer(confirmed_to[0].min(confirmed_to[1]));
+        let pause = match table {
+            _ if !changed => EMPTY_PAUSE,
+            ReplicaTable::Ranges => RANGES_CHANGE_PAUSE,
+            _ => CHANGE_PAUSE,
+        };
+        FeedAnswer { rows, as_of, pause, recovered_after, confirms }
+    }
+
+    /// Handles that the store no longer keeps the changes after the version that was asked for.
+    pub fn on_history_lost(&mut self, table: ReplicaTable) {
+        self.feeds[table as usize].on_history_lost();
+        self.rows.reset_version(table.cache_name());
+    }
+
+    /// Handles that a call of the store failed that was sent at `sent_at`.
+    pub fn on_feed_failure<R: Rng>(
+        &mut self,
+        now: Instant,
+        table: ReplicaTable,
+        sent_at: Instant,
+        leader: LeaderView,
+        random: &mut R,
+    ) -> FeedFailure {
+        let failures = self.feeds[table as usize].on_failure();
+        let could_relay = self.source.can_relay(now, leader);
+        self.source.record_store_failure();
+        self.gate.record_failure(now, sent_at);
+        let store_lost = failures >= STORE_DOWN_FAILURES && self.store_down.is_none();
+        if store_lost {
+            self.store_down = Some(table);
+        }
+        FeedFailure {
+            pause: self.retry_pause(now, failures, leader, random),
+            stops_relaying: could_relay && !self.source.can_relay(now, leader),
+            store_lost,
+        }
+    }
+
+    /// Returns the pause after a failed call, with jitter so that nodes do not all retry at once.
+    fn retry_pause<R: Rng>(
+        &self,
+        now: Instant,
+        failures: u32,
+        leader: LeaderView,
+        random: &mut R,
+    ) -> Duration {
+        let others_depend = self.source.is_relay() || leader.is_self;
+        let doubled = RETRY_PAUSE_BASE * 2u32.saturating_pow(failures.min(8));
+        let longest = match others_depend {
+            // The call may have failed because this process stood still; requests wait for the next one.
+            _ if self.source.is_cut_off(now) && failures == 1 => return EMPTY_PAUSE,
+            true => doubled.min(RELAY_RETRY_PAUSE_MAX),
+            // A single failure may concern only an old connection.
+            false if failures < STORE_DOWN_FAILURES => doubled,
+            false => RETRY_PAUSE_OTHERS,
+        };
+        longest.mul_f64(random.random_range(0.5..1.0))
+    }
+
+    /// Returns the nodes to call for changes, in addition to those whose calls are pending.
+    pub fn peers_to_call<R: Rng>(
+        &self,
+        now: Instant,
+        leader: LeaderView,
+        pending: &[SocketAddr],
+        random: &mut R,
+    ) -> Vec<SocketAddr> {
+        self.source.peers_to_call(now, leader, pending, random)
+    }
+
+    /// Returns what this node states in a call to another node.
+    pub fn known_versions(&self, now: Instant) -> KnownVersions {
+        KnownVersions {
+            age: self.source.age(now),
+            operators: self.version(ReplicaTable::Operators),
+            targets: self.version(ReplicaTable::Targets),
+            ranges: self.version(ReplicaTable::Ranges),
+        }
+    }
+
+    /// Handles the answer of another node.
+    pub fn on_peer_rows(
+        &mut self,
+        now: Instant,
+        call: PendingCall,
+        answer: MissingRows,
+    ) -> PeerRows {
+        // The answer states the age of the data when it was sent. The time of the transfer adds to
+        // that age; the time that the other node waited before it answered does not.
+        let waited = answer.waited.min(now.saturating_since(call.sent_at));
+        let as_of = call.sent_at + waited - answer.store_age;
+        let pages = [answer.operators, answer.targets, answer.ranges];
+        let mut rows = [Vec::new(), Vec::new(), Vec::new()];
+        for ((table, page), rows) in ReplicaTable::ALL.into_iter().zip(pages).zip(&mut rows) {
+            *rows = self.rows.merge(now, table.cache_name(), page);
+        }
+        if answer.can_relay {
+            self.source.record_relayed(call.peer, as_of, answer.designated_origin);
+        }
+        PeerRows { rows, as_of, confirms: answer.can_relay }
+    }
+
+    /// Handles a failure of another node.
+    pub fn on_peer_failure(&mut self, now: Instant, call: PendingCall, failure: PeerFailure) {
+        self.source.record_peer_failure(now, call.peer, failure);
+        self.gate.record_failure(now, call.sent_at);
+    }
+
+    /// Returns the answer to a node that has waited for `waited`, and whether it may wait on for a
+    /// change or a confirmation. `has_config` states whether this node has a configuration.
+    pub fn answer(
+        &self,
+        now: Instant,
+        known: &KnownVersions,
+        waited: Duration,
+        leader: LeaderView,
+        has_config: bool,
+    ) -> (MissingRows, bool) {
+        let page = |table: ReplicaTable| self.rows.page(table.cache_name(), known.version(table));
+        let missing = MissingRows {
+            operators: page(ReplicaTable::Operators),
+            targets: page(ReplicaTable::Targets),
+            ranges: page(ReplicaTable::Ranges),
+            can_relay: has_config && self.source.can_relay(now, leader),
+            store_age: self.source.age(now),
+            designated_origin: self.source.has_designated_origin(leader),
+            waited,
+        };
+        let confirms_newer = self.source.confirms_newer(now, known.age.saturating_add(waited));
+        let waits =
+            missing.is_empty() && missing.can_relay && !confirms_newer && waited < RELAY_WAIT;
+        (missing, waits)
+    }
+
+    /// Returns the rows of a table that went back when the store was restored, and were not written
+    /// again in time.
+    pub(crate) fn take_due(&mut self, now: Instant, table: ReplicaTable) -> Vec<CompressedRow> {
+        self.rows.take_due(now, table.cache_name())
+    }
+}
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -13,7 +13,6 @@
 use crate::granter::Granter;
 use crate::peer_link::{PeerCall, PeerLink};
 use crate::peer_service::{KeyCounts, LeaderReply, NodeReport};
-use crate::site_decoder::SiteDecoder;
 use crate::state::{RouterState, Shared};
 use crate::{rollouts, row_source};
 
@@ -35,7 +34,7 @@
 /// handle their own reports.
 pub(crate) async fn report(shared: Shared, link: PeerLink) {
     loop {
-        let interval = ReportTiming::interval(shared.read().source.nodes());
+        let interval = ReportTiming::interval(shared.read().replica.source().nodes());
         let jitter = shared.write().random.random_range(INTERVAL_JITTER_MIN..1.0);
         sleep(interval.mul_f64(jitter)).await;
         let now = shared.now();
@@ -115,7 +114,7 @@
     state.ledger.confirm_reports();
     if let Some(nodes) = reply.nodes {
         state.cold_gate.set_nodes(nodes.iter().map(|node| node.node.clone()).collect());
-        state.source.set_nodes(nodes);
+        state.replica.set_nodes(nodes);
         state.nodes_version = reply.nodes_version;
     }
     state.customers.apply_reply(sent_at, reply.allowances, reply.site_nodes);
@@ -224,17 +223,14 @@
 }
 
 /// Answers the calls of other nodes until the process stops.
-pub(crate) async fn answer<S: SiteDecoder>(
-    shared: Shared,
-    mut calls: mpsc::UnboundedReceiver<PeerCall>,
-) {
+pub(crate) async fn answer(shared: Shared, mut calls: mpsc::UnboundedReceiver<PeerCall>) {
     while let Some(call) = calls.recv().await {
         match call {
             // Sending fails if the caller has gone.
             PeerCall::Report(report, reply) => {
                 drop(reply.send(answer_report(&shared, shared.now(), *report)));
             }
-            PeerCall::Rows(known, reply) => row_source::answer::<S>(&shared, known, reply),
+            PeerCall::Rows(known, reply) => row_source::answer(&shared, known, reply),
         }
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,12 +15,13 @@
 use wagtailmoor_store::{ChangeFeed, PlainTable, StoreClock, Table};
 use wagtailmoor_telemetry::Event;
 
-use crate::feeds::{self, RANGES_TABLE};
+use crate::feeds;
 use crate::gateway::RouterGateway;
 use crate::leader_loop;
 use crate::node_settings::NodeSettings;
 use crate::peer_link::{self, PeerLink};
 use crate::ready_page::{self, Page};
+use crate::replica_table::ReplicaTable;
 use crate::site_decoder::SiteDecoder;
 use crate::state::{Shared, SharedState};
 use crate::target_control::TargetControl;
@@ -110,7 +111,7 @@
         .info();
     let shared = SharedState::new(settings);
     let (store, decoder) = (Rc::new(store), Rc::new(decoder));
-    for table in [S::OPERATOR_TABLE, S::TARGET_TABLE, RANGES_TABLE] {
+    for table in ReplicaTable::ALL {
         let (store, decoder) = (Rc::clone(&store), Rc::clone(&decoder));
         spawn_local(feeds::follow(Rc::clone(&shared), store, decoder, table));
     }
@@ -119,7 +120,7 @@
     spawn_local(grant_loop::run(Rc::clone(&shared), Rc::clone(&store), Rc::new(control)));
     spawn_local(rollout_loop::run(Rc::clone(&shared), Rc::clone(&store), Rc::clone(&decoder)));
     spawn_local(report_loop::report(Rc::clone(&shared), link.clone()));
-    spawn_local(report_loop::answer::<S>(Rc::clone(&shared), received));
+    spawn_local(report_loop::answer(Rc::clone(&shared), received));
     spawn_local(row_source::run(Rc::clone(&shared), link, decoder));
     spawn_local(ready_page::serve(Rc::clone(&shared), ready, Page::Ready));
     spawn_local(ready_page::serve(Rc::clone(&shared), metrics, Page::Metrics));
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -23,15 +23,14 @@
 
 use crate::NodeAddress;
 use crate::boot_clock::BootClock;
-use crate::change_source::ChangeSource;
-use crate::decision_gate::{Confirmation, DecisionGate};
+use crate::decision_gate::Confirmation;
 use crate::granters::Granters;
 use crate::leader_lease::LeaderLease;
 use crate::leader_view::LeaderView;
 use crate::node_settings::NodeSettings;
 use crate::peer_service::ObservedLeader;
+use crate::replica::Replica;
 use crate::rollouts::Rollouts;
-use crate::row_cache::RowCache;
 use crate::split::LocalShare;
 use crate::stats::Stats;
 use crate::target_choice::DEFAULT_LATENCY;
@@ -74,7 +73,8 @@
     pub(crate) key_counts: SortedVec<BackEndId, SortedVec<(ShardKey, Priority), u32>>,
     /// Requests for pooled back ends since the last report.
     pub(crate) demand: DemandCounter,
-    pub(crate) rows: RowCache,
+    /// This node's copy of the store's tables.
+    pub(crate) replica: Replica,
     /// Version of the list of nodes; the leader raises it with each change.
     pub(crate) nodes_version: u64,
     pub(crate) lease: LeaderLease,
@@ -107,16 +107,8 @@
     pub(crate) store_last_contact: Instant,
     /// Whether the leader has failed to renew its lease in time.
     pub(crate) leader_renewal_overdue: bool,
-    /// Up to when the rows of each table that the store sent are complete.
-    pub(crate) tables_confirmed_to: SortedVec<&'static str, Instant>,
-    /// Where this node gets changes, and the age of its data.
-    pub(crate) source: ChangeSource,
-    /// Whether requests may be decided by this node's data.
-    pub(crate) decision_gate: DecisionGate,
     /// Whether a request checks the data that others wait for.
     pub(crate) data_checked: bool,
-    /// The table whose feed is retried while the store is unreachable; `None` while it answers.
-    pub(crate) store_down: Option<&'static str>,
     /// When requests that arrive during the shutdown must be answered; `None` unless this process
     /// is shutting down.
     pub(crate) shutdown_deadline: Option<Instant>,
@@ -161,7 +153,8 @@
         // every node that waits at the store. A node then counts as up to date, so that it does not
         // call the store at once.
         let synced_to = if settings.first_start { now } else { Instant::default() };
-        let source = ChangeSource::new(settings.address(), settings.seeds.clone(), synced_to);
+        let (address, seeds) = (settings.address(), settings.seeds.clone());
+        let replica = Replica::new(address, seeds, synced_to, settings.apply_time);
         let lease = LeaderLease::new(settings.node.clone(), settings.incarnation, settings.peers);
         let state = RouterState {
             config: None,
@@ -178,7 +171,7 @@
             budgets: SortedVec::new(),
             key_counts: SortedVec::new(),
             demand: DemandCounter::default(),
-            rows: RowCache::default(),
+            replica,
             nodes_version: 0,
             lease,
             admission_gate: AdmissionGate::default(),
@@ -195,11 +188,7 @@
             leader_last_contact: Instant::default(),
             store_last_contact: Instant::default(),
             leader_renewal_overdue: false,
-            tables_confirmed_to: SortedVec::new(),
-            source,
-            decision_gate: DecisionGate::new(settings.apply_time),
             data_checked: false,
-            store_down: None,
             shutdown_deadline: None,
             rollouts: settings.rollouts.map(Rollouts::new),
             random: SmallRng::seed_from_u64(seed),
@@ -239,11 +228,6 @@
         LeaderView { is_self, address: self.lease.leader().map(|row| row.address) }
     }
 
-    /// Returns whether this node must follow the store itself.
-    pub(crate) fn follows_store(&self, now: Instant) -> bool {
-        self.source.follows_store(now, self.leader_view(now))
-    }
-
     /// Returns whether this process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
         self.shutdown_deadline.is_some()
@@ -263,7 +247,7 @@
     /// refuses requests at once.
     pub(crate) fn confirmation(&mut self, now: Instant) -> Confirmation {
         match &self.config {
-            Some(_) => self.decision_gate.check(now, self.source.age(now)),
+            Some(_) => self.replica.confirmation(now),
             None => Confirmation::Current,
         }
     }
@@ -281,7 +265,7 @@
             Event::new("store-restored")
                 .field("era", era)
                 .field("before", former)
-                .field("store_age_ms", self.source.age(now).as_millis())
+                .field("store_age_ms", self.replica.age(now).as_millis())
                 .field("leads", self.lease.authority(now).is_some())
                 .optional("config", config)
                 .warn();
