Confirm data only by answers that deliver their rows

What callers could see: requests decided by a configuration older than its age says. Class: an age that is not tied to the rows that it speaks for.

Answers are dated at the end of their wait at the latest. Nodes state their newest rows in calls, reports and replies, and data are no younger than the first news of a row that they lack.

--- a/crates/router/src/change_source.rs
+++ b/crates/router/src/change_source.rs
@@ -84,6 +84,8 @@
     fallback_age: Duration,
     /// This node knows all changes up to this instant.
     synced_to: Instant,
+    /// Since when this node has heard of a row that it lacks, if it does.
+    behind_since: Option<Instant>,
     /// The store itself confirmed this node's data up to this instant.
     store_synced_to: Instant,
     /// Whether the last call of this node to the store was answered.
@@ -116,6 +118,7 @@
             fallback_age: STORE_FALLBACK_AGE + Duration::from_millis(spread_ms),
             nodes: Vec::new(),
             synced_to,
+            behind_since: None,
             store_synced_to: synced_to,
             store_answers: false,
             designated_synced_to: Instant::default(),
@@ -143,9 +146,21 @@
         self.nodes.iter().find(|node| node.address == peer).map(|node| &node.zone)
     }
 
-    /// Returns the age of this node's copy of the store.
+    /// Returns the age of this node's copy of the store. It can't be current since this node heard of
+    /// a row that it lacks.
     pub fn age(&self, now: Instant) -> Duration {
-        now.saturating_since(self.synced_to)
+        let complete_to = self.behind_since.map_or(self.synced_to, |at| at.min(self.synced_to));
+        now.saturating_since(complete_to)
+    }
+
+    /// Sets since when this node has heard of a row that it lacks; `None` if it lacks none.
+    pub(crate) fn set_behind(&mut self, since: Option<Instant>) {
+        self.behind_since = since;
+    }
+
+    /// Returns whether so many calls of other nodes have failed that this node relies on none of them.
+    pub(crate) fn peers_fail(&self) -> bool {
+        self.peer_failures >= PEER_FAILURES_MAX
     }
 
     /// Returns the number of consecutive failures of other nodes.
@@ -176,7 +191,7 @@
     pub fn can_relay(&self, now: Instant, leader: LeaderView) -> bool {
         let source_works = match self.synced_to == self.store_synced_to {
             true => self.store_answers,
-            false => !leader.is_self && self.peer_failures < PEER_FAILURES_MAX,
+            false => !leader.is_self && !self.peers_fail(),
         };
         self.is_fresh(now) && source_works
     }
@@ -196,7 +211,7 @@
         };
         let without_leader = leader_fails || !self.is_fresh(now);
         let peers_fail = self.had_provider
-            && self.peer_failures >= PEER_FAILURES_MAX
+            && self.peers_fail()
             && self.age(now) > STORE_FALLBACK_AGE_WITHOUT_PEERS;
         let starts = leader.is_self
             || (self.is_relay() && without_leader)
@@ -237,7 +252,7 @@
     /// Returns whether the store was unreachable for all nodes that this one called. A process that
     /// only stood still itself has old data, but no failures of other nodes.
     pub fn shows_outage(&self, now: Instant) -> bool {
-        self.age(now) > OUTAGE_AGE && self.peer_failures >= PEER_FAILURES_MAX
+        self.age(now) > OUTAGE_AGE && self.peers_fail()
     }
 
     /// Returns the nodes to call for changes in addition to `pending`, the calls in flight: the
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -94,6 +94,13 @@
         let name = store_name::<S>(table);
         Event::new("store-regained").field("table", name).field("away_ms", age.as_millis()).info();
     }
+    if answer.is_outdated {
+        state.stats.count("store-answer-outdated");
+        Event::new("store-answer-outdated")
+            .field("table", store_name::<S>(table))
+            .field("known_version", state.replica.version(table))
+            .warn();
+    }
     drop(state);
     let origin = RowOrigin { source: RowSource::Store, as_of: answer.as_of, received_at };
     apply_rows(shared, decoder, table, origin, &answer.rows);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -65,7 +65,7 @@
 pub use peer_failure::PeerFailure;
 pub use peer_polling::{PeerPolling, PendingCall};
 pub use replica::{FeedAnswer, FeedFailure, PeerRows, Replica};
-pub use replica_messages::{KnownVersions, MissingRows};
+pub use replica_messages::{KnownVersions, MissingRows, NewestRows};
 pub use replica_table::ReplicaTable;
 pub use router::{Router, StartError, start};
 pub use row_cache::RowCache;
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -12,7 +12,7 @@
 
 use crate::NodeAddress;
 use crate::leader_lease::LeaderRow;
-use crate::replica_messages::{KnownVersions, MissingRows};
+use crate::replica_messages::{KnownVersions, MissingRows, NewestRows};
 
 /// The called node is stopping and does not answer.
 #[value]
@@ -48,6 +48,8 @@
     pub(crate) service: Vec<TargetObservations>,
     /// Answers of old and new versions, for back ends with an active rollout.
     pub(crate) rollouts: Vec<RolloutReport>,
+    /// The newest rows that the reporting node knows.
+    pub(crate) newest_rows: NewestRows,
     /// Unanswered requests by target; empty unless targets reject requests or fall silent.
     pub(crate) room: RoomReport,
 }
@@ -78,6 +80,8 @@
     pub(crate) rollouts: Vec<RolloutDirective>,
     /// Full targets.
     pub(crate) room: RoomReply,
+    /// The newest rows that the answering node knows.
+    pub(crate) newest_rows: NewestRows,
 }
 
 /// The answer to a call for rows.
--- a/crates/router/src/replica.rs
+++ b/crates/router/src/replica.rs
@@ -8,9 +8,9 @@
 use wagtailmoor_store::{CompressedPage, CompressedRow, FeedPage};
 
 use crate::peer_polling::PendingCall;
-use crate::replica_messages::{KnownVersions, MissingRows};
+use crate::replica_messages::{KnownVersions, MissingRows, NewestRows};
 use crate::replica_table::ReplicaTable;
-use crate::table_feed::{FeedCall, TableFeed};
+use crate::table_feed::{DatedAnswer, FeedCall, TableFeed};
 use crate::{
     ChangeSource, Confirmation, DecisionGate, LeaderView, NodeAddress, PeerFailure, RowCache,
 };
@@ -52,6 +52,17 @@
 ///
 /// The loops that call the store and other nodes hold no state of their own about the data: each
 /// result of a call is handled here.
+///
+/// Invariant: a request is decided by data that hold each row which was acknowledged within the apply
+/// time before it was sent, unless [`DecisionGate`] lets old data decide. This rests on three rules:
+///
+/// - Data are complete up to an instant only by an answer that delivers the rows up to it. The version
+///   up to which rows are complete never goes back, and an answer of an older version than this node
+///   knew confirms nothing.
+/// - An answer is dated by the sending of its call. The wait at the answering side adds to that, at
+///   most as long as the call allowed, which is less than the margin between the age up to which data
+///   decide and the apply time.
+/// - A node that has heard of a row which it lacks has no younger data than that moment.
 #[derive(Debug)]
 pub struct Replica {
     rows: RowCache,
@@ -60,6 +71,10 @@
     feeds: [TableFeed; 3],
     /// The table whose feed is retried while the store is unreachable; `None` while it answers.
     store_down: Option<ReplicaTable>,
+    /// A source confirmed the data up to this instant.
+    confirmed_to: Instant,
+    /// The first row of each decisive table that this node has heard of and lacks, and when it heard.
+    heard: [Option<(RowVersion, Instant)>; 2],
 }
 
 /// What follows from an answer of the store.
@@ -75,6 +90,8 @@
     pub recovered_after: Option<Duration>,
     /// Whether the data of this node are younger than before.
     pub confirms: bool,
+    /// Whether the answer is older than what this node knew when it called, and confirms nothing.
+    pub is_outdated: bool,
 }
 
 /// What follows from a call of the store that failed.
@@ -100,20 +117,21 @@
 }
 
 impl Replica {
-    /// Creates an empty copy. `synced_to` is the instant up to which it counts as complete, and
-    /// `apply_time` the time within which changes must be in force.
+    /// Creates an empty copy of a node. It doesn't call the store at once if `synced_to` is recent.
     pub fn new(
         own: NodeAddress,
         seeds: Vec<SocketAddr>,
         synced_to: Instant,
-        apply_time: Duration,
+        gate: DecisionGate,
     ) -> Self {
         Self {
             rows: RowCache::default(),
             source: ChangeSource::new(own, seeds, synced_to),
-            gate: DecisionGate::new(apply_time),
+            gate,
             feeds: ReplicaTable::ALL.map(TableFeed::new),
             store_down: None,
+            confirmed_to: Instant::default(),
+            heard: [None; 2],
         }
     }
 
@@ -127,9 +145,9 @@
         self.source.set_nodes(nodes);
     }
 
-    /// Returns the age of this node's data.
+    /// Returns the age of this node's data, which no source may have confirmed yet.
     pub fn age(&self, now: Instant) -> Duration {
-        self.source.age(now)
+        self.source.age(now).max(now.saturating_since(self.confirmed_to))
     }
 
     /// Returns the version up to which a table is known.
@@ -139,7 +157,8 @@
 
     /// Returns whether requests may be decided by this node's data.
     pub fn confirmation(&mut self, now: Instant) -> Confirmation {
-        self.gate.check(now, self.source.age(now))
+        let age = self.age(now);
+        self.gate.check(now, age)
     }
 
     /// Records a check of a request that waits for a confirmation. Returns whether requests have waited
@@ -148,6 +167,38 @@
         self.gate.record_check(now)
     }
 
+    /// Returns the newest rows that this node knows.
+    pub fn newest_rows(&self) -> NewestRows {
+        let newest = |table: ReplicaTable| self.rows.newest_row(table.cache_name());
+        NewestRows {
+            operators: newest(ReplicaTable::Operators),
+            targets: newest(ReplicaTable::Targets),
+        }
+    }
+
+    /// Handles the newest rows that another node knows.
+    pub fn hear(&mut self, now: Instant, newest: NewestRows) {
+        for (index, heard) in newest.by_table().into_iter().enumerate() {
+            if heard > self.version(ReplicaTable::DECISIVE[index]) {
+                self.heard[index].get_or_insert((heard, now));
+            }
+        }
+        self.update_behind();
+    }
+
+    /// Forgets rows that this node lacked and has now.
+    fn update_behind(&mut self) {
+        for (index, table) in ReplicaTable::DECISIVE.into_iter().enumerate() {
+            let version = self.version(table);
+            self.heard[index].take_if(|(heard, _)| *heard <= version);
+        }
+        self.source.set_behind(self.heard.iter().flatten().map(|(_, at)| *at).min());
+    }
+
+    fn confirm(&mut self, up_to: Instant) {
+        self.confirmed_to = self.confirmed_to.max(up_to);
+    }
+
     /// Returns the next call of a table's feed. `leader_relays_ranges` states whether other nodes send
     /// the owners of ranges as long as the leader is in contact, even if it cannot reach the store.
     pub fn next_feed_call(
@@ -183,35 +234,48 @@
         sent_at: Instant,
         page: FeedPage,
     ) -> FeedAnswer {
-        let feed = &mut self.feeds[table as usize];
-        let recovered = feed.failures() >= STORE_DOWN_FAILURES;
-        let recovered_after = recovered.then(|| self.source.age(now));
-        if recovered {
-            self.store_down = None;
-        }
+        let recovered = self.feeds[table as usize].failures() >= STORE_DOWN_FAILURES;
+        let recovered_after = recovered.then(|| self.age(now));
         let changed = !page.rows.is_empty();
-        let is_listing = feed.reads_listing();
-        let as_of = feed.on_page(sent_at, now, &page);
+        let answer = self.feeds[table as usize].on_page(sent_at, now, &page);
+        let DatedAnswer { as_of, is_listing, is_outdated } = answer;
         let page = match is_listing {
             true => CompressedPage::compress_listing(page),
             false => CompressedPage::compress(page),
         };
         let rows = self.rows.merge(now, table.cache_name(), page);
-        let confirmed_to =
-            ReplicaTable::DECISIVE.map(|table| self.feeds[table as usize].confirmed_to());
-        let confirms = self.source.record_store_answer(confirmed_to[0].min(confirmed_to[1]));
+        self.update_behind();
+        if is_outdated {
+            let (recovered_after, pause) = (None, RETRY_PAUSE_BASE);
+            return FeedAnswer {
+                rows,
+                as_of,
+                pause,
+                recovered_after,
+                confirms: false,
+                is_outdated,
+            };
+        }
+        if recovered {
+            self.store_down = None;
+        }
+        let feeds = &self.feeds;
+        let confirmed_to = ReplicaTable::DECISIVE.map(|table| feeds[table as usize].confirmed_to());
+        let confirmed_to = confirmed_to[0].min(confirmed_to[1]);
+        self.confirm(confirmed_to);
+        let confirms = self.source.record_store_answer(confirmed_to);
         let pause = match table {
             _ if !changed => EMPTY_PAUSE,
             ReplicaTable::Ranges => RANGES_CHANGE_PAUSE,
             _ => CHANGE_PAUSE,
         };
-        FeedAnswer { rows, as_of, pause, recovered_after, confirms }
+        FeedAnswer { rows, as_of, pause, recovered_after, confirms, is_outdated }
     }
 
-    /// Handles that the store no longer keeps the changes after the version that was asked for.
+    /// Handles that the store no longer keeps the changes after the version that was asked for. The
+    /// rows up to that version stay complete.
     pub fn on_history_lost(&mut self, table: ReplicaTable) {
         self.feeds[table as usize].on_history_lost();
-        self.rows.reset_version(table.cache_name());
     }
 
     /// Handles that a call of the store failed that was sent at `sent_at`.
@@ -273,7 +337,8 @@
     /// Returns what this node states in a call to another node.
     pub fn known_versions(&self, now: Instant) -> KnownVersions {
         KnownVersions {
-            age: self.source.age(now),
+            age: self.age(now),
+            newest: self.newest_rows(),
             operators: self.version(ReplicaTable::Operators),
             targets: self.version(ReplicaTable::Targets),
             ranges: self.version(ReplicaTable::Ranges),
@@ -289,17 +354,21 @@
     ) -> PeerRows {
         // The answer states the age of the data when it was sent. The time of the transfer adds to
         // that age; the time that the other node waited before it answered does not.
-        let waited = answer.waited.min(now.saturating_since(call.sent_at));
+        let waited = answer.waited.min(now.saturating_since(call.sent_at)).min(RELAY_WAIT);
         let as_of = call.sent_at + waited - answer.store_age;
         let pages = [answer.operators, answer.targets, answer.ranges];
         let mut rows = [Vec::new(), Vec::new(), Vec::new()];
+        let has_rows = pages[..2].iter().all(|page| page.version > RowVersion::default());
         for ((table, page), rows) in ReplicaTable::ALL.into_iter().zip(pages).zip(&mut rows) {
             *rows = self.rows.merge(now, table.cache_name(), page);
         }
-        if answer.can_relay {
+        self.update_behind();
+        let confirms = answer.can_relay && has_rows;
+        if confirms {
+            self.confirm(as_of);
             self.source.record_relayed(call.peer, as_of, answer.designated_origin);
         }
-        PeerRows { rows, as_of, confirms: answer.can_relay }
+        PeerRows { rows, as_of, confirms }
     }
 
     /// Handles a failure of another node.
@@ -324,7 +393,7 @@
             targets: page(ReplicaTable::Targets),
             ranges: page(ReplicaTable::Ranges),
             can_relay: has_config && self.source.can_relay(now, leader),
-            store_age: self.source.age(now),
+            store_age: self.age(now),
             designated_origin: self.source.has_designated_origin(leader),
             waited,
         };
--- a/crates/router/src/replica_messages.rs
+++ b/crates/router/src/replica_messages.rs
@@ -8,6 +8,17 @@
 
 use crate::replica_table::ReplicaTable;
 
+/// The newest rows that a node knows of the tables that decide requests. A node that hears of a row
+/// that it lacks knows that its data are not current, whatever age they have.
+#[value]
+#[derive(Copy, Default)]
+pub struct NewestRows {
+    /// Newest version of a row of the table of operators.
+    pub operators: RowVersion,
+    /// Newest version of a row of the table of targets.
+    pub targets: RowVersion,
+}
+
 /// Versions up to which a node has the tables of the store, and their age.
 #[value]
 pub struct KnownVersions {
@@ -19,6 +30,8 @@
     pub ranges: RowVersion,
     /// Age of the calling node's data when it called.
     pub age: Duration,
+    /// The newest rows that the calling node knows.
+    pub newest: NewestRows,
 }
 
 /// Rows that are newer than the caller's versions.
@@ -40,6 +53,13 @@
     pub waited: Duration,
 }
 
+impl NewestRows {
+    /// Returns the versions in the order of [`ReplicaTable::DECISIVE`].
+    pub fn by_table(self) -> [RowVersion; 2] {
+        [self.operators, self.targets]
+    }
+}
+
 impl KnownVersions {
     /// Returns the version of a table.
     pub fn version(&self, table: ReplicaTable) -> RowVersion {
--- a/crates/router/src/report_loop.rs
+++ b/crates/router/src/report_loop.rs
@@ -87,6 +87,7 @@
         ledger_version: state.ledger_version,
         service: state.picker.take_observations(),
         rollouts: rollouts::take_reports(&mut state),
+        newest_rows: state.replica.newest_rows(),
         room,
     }
 }
@@ -97,6 +98,7 @@
     let now = shared.now();
     let mut state = shared.write();
     state.ledger.merge(now, &reply.suspects.suspects);
+    state.replica.hear(now, reply.newest_rows);
     let observed = reply.leader.as_ref().map(|leader| leader.version);
     state.observe_leader(now, reply.leader);
     state.leader_renewal_overdue = reply.renewal_overdue;
@@ -135,6 +137,7 @@
     }
     let leads = state.lease.authority(now).is_some();
     state.ledger.merge(now, &report.suspects);
+    state.replica.hear(now, report.newest_rows);
     let mut reply = LeaderReply {
         leads,
         renewal_overdue,
@@ -148,6 +151,7 @@
         suspects: state.ledger.refused_since(now, report.ledger_version),
         rollouts: Vec::new(),
         room: RoomReply::default(),
+        newest_rows: state.replica.newest_rows(),
     };
     let controls_load =
         state.config.as_ref().is_some_and(|config| shared.settings.controls_load(config));
--- a/crates/router/src/row_cache.rs
+++ b/crates/router/src/row_cache.rs
@@ -12,8 +12,8 @@
 struct CachedTable {
     rows: SortedVec<Arc<str>, CompressedRow>,
     version: RowVersion,
-    /// The version before it was reset, until the table has been read in full.
-    version_before_reset: Option<RowVersion>,
+    /// Newest version of any row.
+    newest_row: RowVersion,
     /// Version of the listing with which this cache began. Rows removed before are unknown.
     complete_from: RowVersion,
     /// Versions of which this node, or one that it got rows from, does not know all removals.
@@ -68,17 +68,15 @@
         due
     }
 
-    /// Returns the version up to which a table is cached; zero if it must be read in full.
+    /// Returns the version up to which the cached rows of a table are complete; zero without any. It never
+    /// goes back, also if the store no longer keeps the changes after it.
     pub fn version(&self, table: &str) -> RowVersion {
         self.tables.get(table).map_or(RowVersion::default(), |cached_table| cached_table.version)
     }
 
-    /// Resets the version of a table whose rows must be read in full. The rows stay cached.
-    pub fn reset_version(&mut self, table: &str) {
-        if let Some(cached_table) = self.tables.get_mut(table) {
-            let version = std::mem::take(&mut cached_table.version);
-            cached_table.version_before_reset.get_or_insert(version);
-        }
+    /// Returns the newest version of any row of a table; zero without rows.
+    pub fn newest_row(&self, table: &str) -> RowVersion {
+        self.tables.get(table).map_or(RowVersion::default(), |cached_table| cached_table.newest_row)
     }
 
     /// Returns the rows of a table that changed after a version, or a listing of all rows if some
@@ -111,7 +109,7 @@
 
     /// Records the version of a page, and which removals it leaves unknown.
     fn record_version(&mut self, page: &CompressedPage) {
-        let before = self.version_before_reset.unwrap_or(self.version);
+        let before = self.version;
         let listed = VersionGap { from: before, to: page.version };
         let new_gap = match page.is_listing {
             true if before == RowVersion::default() => {
@@ -125,15 +123,14 @@
             (Some(gap), Some(new_gap)) => Some(gap.including(new_gap)),
             (gap, new_gap) => gap.or(new_gap),
         };
-        if page.is_listing {
-            self.version_before_reset = None;
-        }
         self.version = self.version.max(page.version);
+        self.newest_row =
+            page.rows.iter().map(|row| row.version).fold(self.newest_row, RowVersion::max);
     }
 
     /// Returns whether rows may have been removed after a version without being cached as removed.
     fn lacks_removals_after(&self, after: RowVersion) -> bool {
-        // A node without a version may have rows from before its version was reset.
+        // A node without a version may have rows all the same.
         after == RowVersion::default()
             || after < self.complete_from
             || self.gap.is_some_and(|gap| gap.contains(after))
--- a/crates/router/src/row_source.rs
+++ b/crates/router/src/row_source.rs
@@ -138,6 +138,7 @@
 pub(crate) fn answer(shared: &Shared, known: KnownVersions, reply: oneshot::Sender<RelayedRows>) {
     let shared = Rc::clone(shared);
     let received = shared.now();
+    shared.write().replica.hear(received, known.newest);
     spawn_local(async move {
         let answer = loop {
             let changed = shared.routes_changed.notified();
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -23,7 +23,7 @@
 
 use crate::NodeAddress;
 use crate::boot_clock::BootClock;
-use crate::decision_gate::Confirmation;
+use crate::decision_gate::{Confirmation, DecisionGate};
 use crate::granters::Granters;
 use crate::leader_lease::LeaderLease;
 use crate::leader_view::LeaderView;
@@ -150,11 +150,11 @@
             ..CrashSettings::default()
         };
         // At the first start of a site all targets register at once, and each registration wakes
-        // every node that waits at the store. A node then counts as up to date, so that it does not
-        // call the store at once.
+        // every node that waits at the store. A node then does not call the store at once.
         let synced_to = if settings.first_start { now } else { Instant::default() };
+        let gate = DecisionGate::new(settings.apply_time);
         let (address, seeds) = (settings.address(), settings.seeds.clone());
-        let replica = Replica::new(address, seeds, synced_to, settings.apply_time);
+        let replica = Replica::new(address, seeds, synced_to, gate);
         let lease = LeaderLease::new(settings.node.clone(), settings.incarnation, settings.peers);
         let state = RouterState {
             config: None,
--- a/crates/router/src/table_feed.rs
+++ b/crates/router/src/table_feed.rs
@@ -37,11 +37,35 @@
     },
 }
 
+/// A call of the feed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Call {
+    is_listing: bool,
+    wait: Duration,
+    /// Version up to which this node had the rows when it called. The store's answers are
+    /// linearizable, so an older one shows rows from before the call.
+    known: RowVersion,
+}
+
+/// What an answer of the store says about the rows of its table.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DatedAnswer {
+    pub(crate) as_of: Instant,
+    pub(crate) is_listing: bool,
+    /// Whether the answer is older than what this node knew when it called.
+    pub(crate) is_outdated: bool,
+}
+
 /// The state of the feed of one table.
 #[derive(Debug)]
 pub(crate) struct TableFeed {
     wait: Duration,
-    after: Option<RowVersion>,
+    /// Version of the last answer.
+    version: RowVersion,
+    /// Version after which the store no longer keeps the changes, until a later one is known.
+    history_lost: Option<RowVersion>,
+    /// The call in flight.
+    call: Call,
     /// Consecutive failures of calls.
     failures: u32,
     clock: AnswerClock,
@@ -57,7 +81,9 @@
         };
         Self {
             wait,
-            after: None,
+            version: RowVersion::default(),
+            history_lost: None,
+            call: Call::default(),
             failures: 0,
             clock: AnswerClock::default(),
             confirmed_to: Instant::default(),
@@ -76,18 +102,17 @@
         self.confirmed_to
     }
 
-    /// Returns whether the present call reads the table in full.
-    pub(crate) fn reads_listing(&self) -> bool {
-        self.after.is_none()
-    }
-
-    /// Returns the next call. Rows up to `relayed`, which other nodes sent, need not be read again.
-    pub(crate) fn next_call(&mut self, now: Instant, relayed: RowVersion) -> FeedCall {
-        self.after = self.after.or(Some(relayed).filter(|version| version.get() > 0));
-        self.after = self.after.map(|after| after.max(relayed));
-        match self.after {
-            None => FeedCall::Snapshot,
-            Some(after) => FeedCall::Changes { after, wait: self.call_wait(now) },
+    /// Returns the next call. The rows up to `known` need not be read again.
+    pub(crate) fn next_call(&mut self, now: Instant, known: RowVersion) -> FeedCall {
+        let after = known.max(self.version);
+        let is_kept = self.history_lost.is_none_or(|lost| after > lost);
+        self.call = match after.get() > 0 && is_kept {
+            true => Call { is_listing: false, wait: self.call_wait(now), known },
+            false => Call { is_listing: true, wait: Duration::ZERO, known },
+        };
+        match self.call {
+            Call { is_listing: true, .. } => FeedCall::Snapshot,
+            Call { wait, .. } => FeedCall::Changes { after, wait },
         }
     }
 
@@ -102,21 +127,30 @@
         }
     }
 
-    /// Handles an answer; returns the instant up to which its rows are complete.
+    /// Handles an answer.
+    ///
+    /// The store answers at the end of the wait at the latest, so a later answer was delayed. This also
+    /// bounds the error of the age by the wait if the store's clock was set forward.
     pub(crate) fn on_page(
         &mut self,
         sent_at: Instant,
         received_at: Instant,
         page: &FeedPage,
-    ) -> Instant {
-        self.failures = 0;
-        self.after = Some(page.version);
-        self.confirmed_to = self.clock.date(sent_at, received_at, page.store_time);
-        self.confirmed_to
+    ) -> DatedAnswer {
+        let Call { is_listing, wait, known } = self.call;
+        let as_of = self.clock.date(sent_at, received_at, page.store_time).min(sent_at + wait);
+        let is_outdated = page.version < known;
+        if !is_outdated {
+            self.failures = 0;
+            self.version = page.version;
+            self.history_lost = None;
+            self.confirmed_to = as_of;
+        }
+        DatedAnswer { as_of, is_listing, is_outdated }
     }
 
     pub(crate) fn on_history_lost(&mut self) {
-        self.after = None;
+        self.history_lost = Some(self.version.max(self.call.known));
     }
 
     /// Handles a failed call; returns the number of consecutive failures.
--- a/crates/router/tests/confirmations.rs
+++ b/crates/router/tests/confirmations.rs
@@ -6,7 +6,10 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use wagtailmoor_core::{Instant, RowVersion, StoreTime};
-use wagtailmoor_router::{Confirmation, FeedCall, LeaderView, NodeAddress, Replica, ReplicaTable};
+use wagtailmoor_router::{
+    Confirmation, DecisionGate, FeedCall, LeaderView, NewestRows, NodeAddress, Replica,
+    ReplicaTable,
+};
 use wagtailmoor_store::{FeedPage, FeedRow};
 
 const APPLY_TIME: Duration = Duration::from_secs(2);
@@ -22,14 +25,18 @@
     START + Duration::from_millis(ms)
 }
 
-fn replica() -> Replica {
-    let own = NodeAddress {
+fn own() -> NodeAddress {
+    NodeAddress {
         node: "node-1".parse().unwrap(),
         zone: "zone-1".parse().unwrap(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         capacity: 100,
-    };
-    Replica::new(own, Vec::new(), Instant::default(), APPLY_TIME)
+    }
+}
+
+fn replica() -> Replica {
+    let gate = DecisionGate::new(APPLY_TIME);
+    Replica::new(own(), Vec::new(), Instant::default(), gate)
 }
 
 /// Returns a page of the store, made when its clock had advanced by `clock_ms` since `START`, with a
@@ -98,6 +105,29 @@
     assert!(answer.as_of <= at(200) + wait, "{answer:?}");
 }
 
+// Guards against a node whose sources confirm its data although they lack a row that another node has.
+#[test]
+fn data_are_no_younger_than_the_news_of_a_row_that_they_lack() {
+    let mut replica = replica();
+    read(&mut replica, 0, 178, &[178]);
+    let newest = NewestRows { operators: RowVersion::new(202), ..replica.newest_rows() };
+    replica.hear(at(300), newest);
+    read(&mut replica, 1_000, 190, &[]);
+    assert_eq!(replica.age(at(1_800)), Duration::from_millis(1_500));
+    read(&mut replica, 1_900, 202, &[202]);
+    assert_eq!(replica.age(at(1_901)), Duration::from_millis(1));
+}
+
+// Guards against a node that starts with others and decides by the rows of a stale neighbour, because a
+// new site counts as up to date.
+#[test]
+fn a_start_confirms_nothing() {
+    let gate = DecisionGate::new(APPLY_TIME);
+    let replica = Replica::new(own(), Vec::new(), START, gate);
+    assert!(replica.age(at(1)) > APPLY_TIME);
+    assert_eq!(replica.source().age(at(1)), Duration::from_millis(1));
+}
+
 // Guards against a process that is busy, and decides by old data because a request has waited while
 // the answer of the store was on its way.
 #[test]
--- a/crates/router/tests/replica/node.rs
+++ b/crates/router/tests/replica/node.rs
@@ -6,8 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 use wagtailmoor_core::{Instant, RowVersion};
 use wagtailmoor_router::{
-    Confirmation, FeedCall, KnownVersions, LeaderView, MissingRows, NodeAddress, PeerFailure,
-    PeerPolling, Replica, ReplicaTable,
+    Confirmation, DecisionGate, FeedCall, KnownVersions, LeaderView, MissingRows, NodeAddress,
+    PeerFailure, PeerPolling, Replica, ReplicaTable,
 };
 use wagtailmoor_store::{CompressedRow, FeedError, FeedPage};
 
@@ -98,9 +98,10 @@
         seeds: Vec<SocketAddr>,
         now: Instant,
     ) -> Self {
+        let gate = DecisionGate::new(APPLY_TIME);
         Self {
             number,
-            replica: Replica::new(address, seeds, Instant::default(), APPLY_TIME),
+            replica: Replica::new(address, seeds, Instant::default(), gate),
             polling: PeerPolling::default(),
             peer_calls: Vec::new(),
             feeds: [FeedLoop::Idle { until: now }; 3],
@@ -127,6 +128,7 @@
                 self.on_store_answer(now, call, result, leader, random);
             }
             Message::PeerCall { from, call, known } => {
+                self.replica.hear(now, known.newest);
                 self.held.push(HeldCall { from, call, known, received_at: now });
                 self.changed = true;
             }
--- a/crates/router/tests/row_cache.rs
+++ b/crates/router/tests/row_cache.rs
@@ -45,7 +45,6 @@
         let page = match after.get() {
             0 => CompressedPage::compress_listing(self.page(|row| row.content.is_some())),
             number if number < self.discarded => {
-                cache.reset_version(TABLE);
                 CompressedPage::compress_listing(self.page(|row| row.content.is_some()))
             }
             _ => CompressedPage::compress(self.page(|row| row.version > after)),
