Let old data decide by failed calls only, not by a wait

Cause: DecisionGate took a request that had waited 0.3 s for a sign that no source could be reached, and let old data decide for 2 s from then on. On a process that gets too little of a processor the answers were on their way. Any failure extended that, also a stale answer of one neighbour or the feed of another table.

Change: old data decide only while failed calls show that no source can be reached: a call of a feed that must confirm the data, sent since the process ran on time (checked every 20 to 100 ms, no gap above 150 ms) and less than nine tenths of contactS ago, and calls of other nodes. The process watches itself all the time, so the evidence is there when requests come. Requests wait for 1 s at most, then they are refused as not run. Other nodes than relays call the store every 1 to 2 s, counted from the sending, so that evidence doesn't lapse, and the table of owners is never the one by which the return of the store is detected.

--- a/crates/router/src/change_source.rs
+++ b/crates/router/src/change_source.rs
@@ -158,6 +158,12 @@
         self.behind_since = since;
     }
 
+    /// Returns whether there are other nodes that this one could call.
+    pub(crate) fn has_other_nodes(&self) -> bool {
+        let mut others = self.nodes.iter().map(|node| node.address).chain(self.seeds.clone());
+        others.any(|address| address != self.own.address)
+    }
+
     /// Returns whether so many calls of other nodes have failed that this node relies on none of them.
     pub(crate) fn peers_fail(&self) -> bool {
         self.peer_failures >= PEER_FAILURES_MAX
--- a/crates/router/src/confirmation_wait.rs
+++ b/crates/router/src/confirmation_wait.rs
@@ -1,19 +1,30 @@
 //! Waits until the data of this node are confirmed.
 
-use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use wagtailmoor_core::Instant;
 use wagtailmoor_telemetry::Event;
 
 use crate::decision_gate::Confirmation;
-use crate::state::Shared;
+use crate::state::{RouterState, Shared};
 
-/// Longest time between two checks.
-const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two checks while the data are young.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The deadline of a request passed while its node's data were not confirmed.
+/// Time between two checks while the data are old or soon will be.
+const CHECK_INTERVAL_OLD: Duration = Duration::from_millis(20);
+
+/// From this age on the data are checked in short intervals. The store or another node confirms them
+/// earlier as long as one can be reached.
+const CHECK_AGE: Duration = Duration::from_millis(1_000);
+
+/// A request waits at most this long for a confirmation: until a call of the store that was sent when
+/// its wait began has been answered or has failed. Then it is refused, and its client can turn to
+/// another node.
+const WAIT_MAX: Duration = Duration::from_millis(1_000);
+
+/// The data of this node were not confirmed in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NotConfirmed;
 
@@ -22,71 +33,68 @@
 ///
 /// # Errors
 ///
-/// `deadline` has passed before.
+/// Neither has happened at `deadline`, or within `WAIT_MAX`.
 pub(crate) async fn wait(shared: &Shared, deadline: Instant) -> Result<Confirmation, NotConfirmed> {
+    let deadline = deadline.min(shared.now() + WAIT_MAX);
     loop {
         let confirmed = shared.data_confirmed.notified();
         let now = shared.now();
-        let confirmation = shared.write().confirmation(now);
-        if confirmation != Confirmation::Pending {
+        let confirmation = shared.read().confirmation(now);
+        if confirmation == Confirmation::Current {
             return Ok(confirmation);
         }
-        if now >= deadline {
-            return Err(NotConfirmed);
-        }
-        match Checker::claim(shared) {
-            Some(checker) => checker.run(deadline).await,
+        match confirmation {
+            Confirmation::Pending if now >= deadline => return Err(NotConfirmed),
             // Whether the data were confirmed or not, the next turn decides.
-            None => drop(timeout(deadline.saturating_since(now), confirmed).await),
+            Confirmation::Pending => {
+                drop(timeout(deadline.saturating_since(now), confirmed).await);
+            }
+            Confirmation::Unreachable => return Ok(confirmation),
+            Confirmation::Current => unreachable!("checked before"),
         }
     }
 }
 
-/// The one request of this node that checks the data while others wait too. With a timer for each of
-/// thousands of requests, the event loop would have no time for the confirmation.
-struct Checker {
-    shared: Shared,
-}
-
-impl Checker {
-    fn claim(shared: &Shared) -> Option<Self> {
-        let claimed = std::mem::replace(&mut shared.write().data_checked, true);
-        (!claimed).then(|| Self { shared: Rc::clone(shared) })
-    }
-
-    /// Checks the data until they are confirmed, no source of them can be reached, or `deadline` has
-    /// passed.
-    async fn run(self, deadline: Instant) {
-        loop {
-            let confirmed = self.shared.data_confirmed.notified();
-            let now = self.shared.now();
-            let pending = self.shared.write().confirmation(now) == Confirmation::Pending;
-            if !pending || now >= deadline || self.record_check(now) {
-                return;
+/// Checks whether the process runs on time, and wakes the requests that wait when old data may decide,
+/// until the process stops.
+pub(crate) async fn watch(shared: Shared) {
+    let mut unconfirmed_since = None;
+    loop {
+        let now = shared.now();
+        match (check(&shared, now), unconfirmed_since) {
+            (Confirmation::Unreachable, None) => {
+                unconfirmed_since = Some(now);
+                shared.write().stats.count("data-unconfirmed");
+                log_change("data-unconfirmed", &shared.read(), now).warn();
+                shared.data_confirmed.notify_waiters();
+            }
+            (Confirmation::Unreachable, Some(_)) => shared.data_confirmed.notify_waiters(),
+            (Confirmation::Current, Some(since)) => {
+                unconfirmed_since = None;
+                let after_ms = now.saturating_since(since).as_millis();
+                let event = log_change("data-confirmed", &shared.read(), now);
+                event.field("after_ms", after_ms).info();
             }
-            drop(timeout(CHECK_INTERVAL, confirmed).await);
+            _ => {}
         }
+        let is_young = shared.read().replica.age(now) < CHECK_AGE;
+        sleep(if is_young { CHECK_INTERVAL } else { CHECK_INTERVAL_OLD }).await;
     }
+}
 
-    /// Records a check. Returns whether the requests of this node are decided by old data from now on.
-    fn record_check(&self, now: Instant) -> bool {
-        let mut state = self.shared.write();
-        let in_vain = state.replica.record_check(now);
-        if in_vain {
-            state.stats.count("data-unconfirmed");
-            Event::new("data-unconfirmed")
-                .field("store_age_ms", state.replica.age(now).as_millis())
-                .field("peer_failures", state.replica.source().peer_failures())
-                .warn();
-        }
-        in_vain
+/// Records that the process runs, and lets the feeds call the store at once after it stood still.
+fn check(shared: &Shared, now: Instant) -> Confirmation {
+    let mut state = shared.write();
+    if state.replica.record_check(now) {
+        shared.data_needed.notify_waiters();
     }
+    state.confirmation(now)
 }
 
-impl Drop for Checker {
-    /// Wakes the other requests. One of them goes on with the checks if the data are still pending.
-    fn drop(&mut self) {
-        self.shared.write().data_checked = false;
-        self.shared.data_confirmed.notify_waiters();
-    }
+fn log_change(name: &str, state: &RouterState, now: Instant) -> Event {
+    Event::new(name)
+        .field("config_version", state.config_version())
+        .field("store_age_ms", state.replica.age(now).as_millis())
+        .field("store_failures", state.replica.store_failures())
+        .field("peer_failures", state.replica.source().peer_failures())
 }
--- a/crates/router/src/feeds.rs
+++ b/crates/router/src/feeds.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::sleep;
+use tokio::time::timeout;
 use wagtailmoor_admission::ReportTiming;
 use wagtailmoor_core::{BackEndId, ConfigVersion, Instant, RowVersion};
 use wagtailmoor_ranges::AssignmentTable;
@@ -36,7 +36,7 @@
         let sent_at = shared.now();
         let page = match next_call(&shared, sent_at, table) {
             FeedCall::Pause(pause) => {
-                sleep(pause).await;
+                wait_to_call(&shared, pause).await;
                 continue;
             }
             FeedCall::Snapshot => feed.snapshot(name).await,
@@ -45,7 +45,7 @@
         match page {
             Ok(page) => {
                 let pause = on_page(&shared, &*decoder, table, sent_at, page);
-                sleep(pause).await;
+                wait_to_call(&shared, pause).await;
             }
             Err(FeedError::HistoryLost) => {
                 Event::new("history-lost").field("table", name).warn();
@@ -53,12 +53,18 @@
             }
             Err(FeedError::Unavailable { cause }) => {
                 let pause = on_call_failed::<S>(&shared, table, sent_at, &cause);
-                sleep(pause).await;
+                wait_to_call(&shared, pause).await;
             }
         }
     }
 }
 
+/// Waits for the pause before the next call, or until the store must be called at once.
+async fn wait_to_call(shared: &Shared, pause: Duration) {
+    // Either way the next call is due.
+    drop(timeout(pause, shared.data_needed.notified()).await);
+}
+
 /// Returns the name of a table in the store.
 fn store_name<S: SiteDecoder>(table: ReplicaTable) -> &'static str {
     match table {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -53,7 +53,7 @@
 pub use answer_clock::AnswerClock;
 pub use boot_clock::BootClock;
 pub use change_source::ChangeSource;
-pub use decision_gate::{Confirmation, DecisionGate};
+pub use decision_gate::{Confirmation, DataSource, DecisionGate};
 pub use gateway::{AttemptGuard, CreditGuard};
 pub use leader_lease::{LeaderLease, LeaderRow, LeaseAction};
 pub use leader_view::LeaderView;
--- a/crates/router/src/node_settings.rs
+++ b/crates/router/src/node_settings.rs
@@ -45,6 +45,8 @@
     pub grace: Duration,
     /// Time within which a change of the operators or of a target must be in force on this node.
     pub apply_time: Duration,
+    /// Time after a disturbance of this node or its links after which `apply_time` must hold again.
+    pub contact_time: Duration,
     /// CPU and network capacity of the host, relative to other nodes. The strongest node of a zone
     /// relays changes to the others.
     pub capacity: u32,
--- a/crates/router/src/replica.rs
+++ b/crates/router/src/replica.rs
@@ -12,7 +12,8 @@
 use crate::replica_table::ReplicaTable;
 use crate::table_feed::{DatedAnswer, FeedCall, TableFeed};
 use crate::{
-    ChangeSource, Confirmation, DecisionGate, LeaderView, NodeAddress, PeerFailure, RowCache,
+    ChangeSource, Confirmation, DataSource, DecisionGate, LeaderView, NodeAddress, PeerFailure,
+    RowCache,
 };
 
 /// Pause after an answer with changes, so that the next answer contains a series of changes. Cold
@@ -36,9 +37,13 @@
 /// Longest pause after failed calls of the leader or a relay, since other nodes wait for it.
 const RELAY_RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
 
-/// Pause of all other nodes from the second consecutive failure on. There are many of these, and
-/// their relay sends them changes as soon as the store is reachable again.
-const RETRY_PAUSE_OTHERS: Duration = Duration::from_millis(2_500);
+/// Longest interval between two calls of all other nodes from the second consecutive failure on,
+/// counted from the sending. There are many of these, and their relay sends them changes as soon as
+/// the store is reachable again. A failed call must be replaced before it is no evidence any more.
+const RETRY_INTERVAL_OTHERS: Duration = Duration::from_millis(2_000);
+
+/// Shortest time between two calls that are made at once because the process stood still.
+const URGENT_CALL_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Consecutive failures after which the store counts as unreachable.
 const STORE_DOWN_FAILURES: u32 = 2;
@@ -54,7 +59,8 @@
 /// result of a call is handled here.
 ///
 /// Invariant: a request is decided by data that hold each row which was acknowledged within the apply
-/// time before it was sent, unless [`DecisionGate`] lets old data decide. This rests on three rules:
+/// time before it was sent, unless [`DecisionGate`] has evidence that no source can be reached. This
+/// rests on four rules:
 ///
 /// - Data are complete up to an instant only by an answer that delivers the rows up to it. The version
 ///   up to which rows are complete never goes back, and an answer of an older version than this node
@@ -63,6 +69,7 @@
 ///   most as long as the call allowed, which is less than the margin between the age up to which data
 ///   decide and the apply time.
 /// - A node that has heard of a row which it lacks has no younger data than that moment.
+/// - Old data decide by failed calls, never by a wait.
 #[derive(Debug)]
 pub struct Replica {
     rows: RowCache,
@@ -75,6 +82,8 @@
     confirmed_to: Instant,
     /// The first row of each decisive table that this node has heard of and lacks, and when it heard.
     heard: [Option<(RowVersion, Instant)>; 2],
+    /// When the store was last called at once because the process stood still.
+    urgent_call_at: Instant,
 }
 
 /// What follows from an answer of the store.
@@ -132,6 +141,7 @@
             store_down: None,
             confirmed_to: Instant::default(),
             heard: [None; 2],
+            urgent_call_at: Instant::default(),
         }
     }
 
@@ -150,21 +160,31 @@
         self.source.age(now).max(now.saturating_since(self.confirmed_to))
     }
 
+    /// Returns the number of consecutive failures of calls of the store.
+    pub fn store_failures(&self) -> u32 {
+        self.feeds.iter().map(TableFeed::failures).max().unwrap_or_default()
+    }
+
     /// Returns the version up to which a table is known.
     pub fn version(&self, table: ReplicaTable) -> RowVersion {
         self.rows.version(table.cache_name())
     }
 
     /// Returns whether requests may be decided by this node's data.
-    pub fn confirmation(&mut self, now: Instant) -> Confirmation {
-        let age = self.age(now);
-        self.gate.check(now, age)
+    pub fn confirmation(&self, now: Instant) -> Confirmation {
+        self.gate.check(now, self.age(now), self.source.has_other_nodes())
     }
 
-    /// Records a check of a request that waits for a confirmation. Returns whether requests have waited
-    /// in vain and are decided by old data from now on.
+    /// Records that the process runs; called all the time, and every 20 ms while the data are old.
+    /// Returns whether the store must be called at once: the process stood still, and its data are old.
     pub fn record_check(&mut self, now: Instant) -> bool {
-        self.gate.record_check(now)
+        let is_due = now >= self.urgent_call_at + URGENT_CALL_INTERVAL;
+        let stood_still = self.gate.record_check(now);
+        let is_urgent = stood_still && is_due && self.confirmation(now) != Confirmation::Current;
+        if is_urgent {
+            self.urgent_call_at = now;
+        }
+        is_urgent
     }
 
     /// Returns the newest rows that this node knows.
@@ -259,6 +279,9 @@
         if recovered {
             self.store_down = None;
         }
+        if let Some(feed) = decisive_index(table) {
+            self.gate.record_answer(DataSource::Store(feed));
+        }
         let feeds = &self.feeds;
         let confirmed_to = ReplicaTable::DECISIVE.map(|table| feeds[table as usize].confirmed_to());
         let confirmed_to = confirmed_to[0].min(confirmed_to[1]);
@@ -290,23 +313,30 @@
         let failures = self.feeds[table as usize].on_failure();
         let could_relay = self.source.can_relay(now, leader);
         self.source.record_store_failure();
-        self.gate.record_failure(now, sent_at);
-        let store_lost = failures >= STORE_DOWN_FAILURES && self.store_down.is_none();
+        let mut store_lost = false;
+        // The table of owners confirms nothing, so its feed can't show that the store is back.
+        if let Some(feed) = decisive_index(table) {
+            self.gate.record_failure(DataSource::Store(feed), sent_at);
+            store_lost = failures >= STORE_DOWN_FAILURES && self.store_down.is_none();
+        }
         if store_lost {
             self.store_down = Some(table);
         }
+        let elapsed = now.saturating_since(sent_at);
         FeedFailure {
-            pause: self.retry_pause(now, failures, leader, random),
+            pause: self.retry_pause(now, failures, elapsed, leader, random),
             stops_relaying: could_relay && !self.source.can_relay(now, leader),
             store_lost,
         }
     }
 
-    /// Returns the pause after a failed call, with jitter so that nodes do not all retry at once.
+    /// Returns the pause after a failed call that took `elapsed`, with jitter so that nodes do not all
+    /// retry at once.
     fn retry_pause<R: Rng>(
         &self,
         now: Instant,
         failures: u32,
+        elapsed: Duration,
         leader: LeaderView,
         random: &mut R,
     ) -> Duration {
@@ -318,7 +348,10 @@
             true => doubled.min(RELAY_RETRY_PAUSE_MAX),
             // A single failure may concern only an old connection.
             false if failures < STORE_DOWN_FAILURES => doubled,
-            false => RETRY_PAUSE_OTHERS,
+            false => {
+                let interval = RETRY_INTERVAL_OTHERS.mul_f64(random.random_range(0.5..1.0));
+                return interval.saturating_sub(elapsed).max(EMPTY_PAUSE);
+            }
         };
         longest.mul_f64(random.random_range(0.5..1.0))
     }
@@ -366,6 +399,7 @@
         let confirms = answer.can_relay && has_rows;
         if confirms {
             self.confirm(as_of);
+            self.gate.record_answer(DataSource::OtherNodes);
             self.source.record_relayed(call.peer, as_of, answer.designated_origin);
         }
         PeerRows { rows, as_of, confirms }
@@ -374,7 +408,9 @@
     /// Handles a failure of another node.
     pub fn on_peer_failure(&mut self, now: Instant, call: PendingCall, failure: PeerFailure) {
         self.source.record_peer_failure(now, call.peer, failure);
-        self.gate.record_failure(now, call.sent_at);
+        if self.source.peers_fail() {
+            self.gate.record_failure(DataSource::OtherNodes, call.sent_at);
+        }
     }
 
     /// Returns the answer to a node that has waited for `waited`, and whether it may wait on for a
@@ -409,3 +445,8 @@
         self.rows.take_due(now, table.cache_name())
     }
 }
+
+/// Returns the index of a table among those that must confirm the data.
+fn decisive_index(table: ReplicaTable) -> Option<usize> {
+    ReplicaTable::DECISIVE.iter().position(|decisive| *decisive == table)
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,6 +15,7 @@
 use wagtailmoor_store::{ChangeFeed, PlainTable, StoreClock, Table};
 use wagtailmoor_telemetry::Event;
 
+use crate::confirmation_wait;
 use crate::feeds;
 use crate::gateway::RouterGateway;
 use crate::leader_loop;
@@ -122,6 +123,7 @@
     spawn_local(report_loop::report(Rc::clone(&shared), link.clone()));
     spawn_local(report_loop::answer(Rc::clone(&shared), received));
     spawn_local(row_source::run(Rc::clone(&shared), link, decoder));
+    spawn_local(confirmation_wait::watch(Rc::clone(&shared)));
     spawn_local(ready_page::serve(Rc::clone(&shared), ready, Page::Ready));
     spawn_local(ready_page::serve(Rc::clone(&shared), metrics, Page::Metrics));
     spawn_local(zone_traffic::log(Rc::clone(&shared)));
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -107,8 +107,6 @@
     pub(crate) store_last_contact: Instant,
     /// Whether the leader has failed to renew its lease in time.
     pub(crate) leader_renewal_overdue: bool,
-    /// Whether a request checks the data that others wait for.
-    pub(crate) data_checked: bool,
     /// When requests that arrive during the shutdown must be answered; `None` unless this process
     /// is shutting down.
     pub(crate) shutdown_deadline: Option<Instant>,
@@ -128,6 +126,8 @@
     pub(crate) routes_changed: Notify,
     /// Notified when a source has confirmed this node's data, or requests no longer wait for that.
     pub(crate) data_confirmed: Notify,
+    /// Notified when the store must be called at once.
+    pub(crate) data_needed: Notify,
     /// Notified when the grant loop has something to do.
     pub(crate) assigner_due: Notify,
 }
@@ -152,7 +152,7 @@
         // At the first start of a site all targets register at once, and each registration wakes
         // every node that waits at the store. A node then does not call the store at once.
         let synced_to = if settings.first_start { now } else { Instant::default() };
-        let gate = DecisionGate::new(settings.apply_time);
+        let gate = DecisionGate::new(settings.apply_time, settings.contact_time);
         let (address, seeds) = (settings.address(), settings.seeds.clone());
         let replica = Replica::new(address, seeds, synced_to, gate);
         let lease = LeaderLease::new(settings.node.clone(), settings.incarnation, settings.peers);
@@ -188,7 +188,6 @@
             leader_last_contact: Instant::default(),
             store_last_contact: Instant::default(),
             leader_renewal_overdue: false,
-            data_checked: false,
             shutdown_deadline: None,
             rollouts: settings.rollouts.map(Rollouts::new),
             random: SmallRng::seed_from_u64(seed),
@@ -201,6 +200,7 @@
             state: RefCell::new(state),
             routes_changed: Notify::new(),
             data_confirmed: Notify::new(),
+            data_needed: Notify::new(),
             assigner_due: Notify::new(),
         })
     }
@@ -245,7 +245,7 @@
 
     /// Returns whether requests may be decided by this node's data. A node without a configuration
     /// refuses requests at once.
-    pub(crate) fn confirmation(&mut self, now: Instant) -> Confirmation {
+    pub(crate) fn confirmation(&self, now: Instant) -> Confirmation {
         match &self.config {
             Some(_) => self.replica.confirmation(now),
             None => Confirmation::Current,
--- a/crates/router/tests/confirmations.rs
+++ b/crates/router/tests/confirmations.rs
@@ -14,6 +14,8 @@
 
 const APPLY_TIME: Duration = Duration::from_secs(2);
 
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
 const START: Instant = Instant::from_us(100_000_000);
 
 const LEADS: LeaderView = LeaderView { is_self: true, address: None };
@@ -35,7 +37,7 @@
 }
 
 fn replica() -> Replica {
-    let gate = DecisionGate::new(APPLY_TIME);
+    let gate = DecisionGate::new(APPLY_TIME, CONTACT_TIME);
     Replica::new(own(), Vec::new(), Instant::default(), gate)
 }
 
@@ -122,7 +124,7 @@
 // new site counts as up to date.
 #[test]
 fn a_start_confirms_nothing() {
-    let gate = DecisionGate::new(APPLY_TIME);
+    let gate = DecisionGate::new(APPLY_TIME, CONTACT_TIME);
     let replica = Replica::new(own(), Vec::new(), START, gate);
     assert!(replica.age(at(1)) > APPLY_TIME);
     assert_eq!(replica.source().age(at(1)), Duration::from_millis(1));
@@ -155,10 +157,10 @@
                 replica.on_feed_failure(at(ms + 1), table, at(ms), LEADS, &mut random);
             }
         }
+        replica.record_check(at(ms + 2));
         match replica.confirmation(at(ms + 2)) {
-            Confirmation::Pending => drop(replica.record_check(at(ms + 2))),
-            Confirmation::Unreachable => decided += 1,
             Confirmation::Current => assert!(ms < 1_600),
+            old => decided += usize::from(old == Confirmation::Unreachable),
         }
     }
     assert!(decided > 300, "{decided} of 400 requests");
--- a/crates/router/tests/replica/node.rs
+++ b/crates/router/tests/replica/node.rs
@@ -11,7 +11,7 @@
 };
 use wagtailmoor_store::{CompressedRow, FeedError, FeedPage};
 
-use super::disturbances::APPLY_TIME;
+use super::disturbances::{APPLY_TIME, CONTACT_TIME};
 
 /// A feed call fails this long after the end of its wait.
 const FEED_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
@@ -98,7 +98,7 @@
         seeds: Vec<SocketAddr>,
         now: Instant,
     ) -> Self {
-        let gate = DecisionGate::new(APPLY_TIME);
+        let gate = DecisionGate::new(APPLY_TIME, CONTACT_TIME);
         Self {
             number,
             replica: Replica::new(address, seeds, Instant::default(), gate),
@@ -296,18 +296,28 @@
     /// Returns what a request that arrives now is decided by; `None` if it waits, or is refused without
     /// a configuration.
     pub(crate) fn decide(&mut self, now: Instant) -> Option<Decision> {
+        if now >= self.next_check {
+            self.next_check = now + CHECK_INTERVAL;
+            if self.replica.record_check(now) {
+                self.call_store_at_once(now);
+            }
+        }
         let version = self.config?;
         let confirmation = self.replica.confirmation(now);
-        if confirmation != Confirmation::Pending {
-            self.pending_since = None;
-            return Some(Decision { confirmation, version, age: self.replica.age(now) });
+        if confirmation == Confirmation::Pending {
+            self.pending_since.get_or_insert(now);
+            return None;
         }
-        self.pending_since.get_or_insert(now);
-        if now >= self.next_check {
-            self.next_check = now + CHECK_INTERVAL;
-            self.replica.record_check(now);
+        self.pending_since = None;
+        Some(Decision { confirmation, version, age: self.replica.age(now) })
+    }
+
+    fn call_store_at_once(&mut self, now: Instant) {
+        for feed in &mut self.feeds {
+            if matches!(feed, FeedLoop::Idle { .. }) {
+                *feed = FeedLoop::Idle { until: now };
+            }
         }
-        None
     }
 
     fn next_call_id(&mut self) -> u64 {
