Do not hold back a configuration after a restore of the store

What callers could see: a configuration that operators write right after a restore is in force 5 s later, and requests count as decided by current data meanwhile. Found by asking where else data are confirmed without being in force.

Cause: rows whose number is lower than the known one and not above the first answer of the new era were held back for the grace period, whatever they say. A restored store issues numbers again, so a new configuration looks like that.

Change: the configuration states its version, and a lower one never replaces a higher one, so its row takes effect at once. Other rows are held back as before.

Measured: a_row_that_states_its_order_is_not_held_back fails without the change and passes with it.

--- a/crates/router/src/replica.rs
+++ b/crates/router/src/replica.rs
@@ -150,6 +150,12 @@
         &self.source
     }
 
+    /// Sets the key of the operators' row whose content states its order, see
+    /// [`RowCache::set_ordered_row`].
+    pub fn set_ordered_row(&mut self, key: &'static str) {
+        self.rows.set_ordered_row(ReplicaTable::Operators.cache_name(), key);
+    }
+
     /// Replaces the list of the site's nodes.
     pub fn set_nodes(&mut self, nodes: Vec<NodeAddress>) {
         self.source.set_nodes(nodes);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -111,6 +111,7 @@
         .field("front", settings.front)
         .info();
     let shared = SharedState::new(settings);
+    shared.write().replica.set_ordered_row(S::CONFIG_KEY);
     let (store, decoder) = (Rc::new(store), Rc::new(decoder));
     for table in ReplicaTable::ALL {
         let (store, decoder) = (Rc::clone(&store), Rc::clone(&decoder));
--- a/crates/router/src/row_cache.rs
+++ b/crates/router/src/row_cache.rs
@@ -21,6 +21,8 @@
     /// Newest era of any merged page.
     era: StoreEra,
     restored: RestoredRows,
+    /// Key of a row whose content states its order, so that an older one never replaces a newer one.
+    ordered_row: Option<&'static str>,
 }
 
 /// The newest rows of the store that this node knows, including removed ones.
@@ -49,11 +51,19 @@
         }
         newer.retain(|row| {
             let known = cached_table.rows.insert(row.key.clone(), row.clone());
-            cached_table.restored.admit(now, row, known.map(|known| known.version))
+            let is_ordered = cached_table.ordered_row == Some(&*row.key) && !row.is_removed();
+            is_ordered || cached_table.restored.admit(now, row, known.map(|known| known.version))
         });
         newer
     }
 
+    /// Sets the key of a row whose content states its order, so that an older one never replaces a
+    /// newer one. Such a row is not held back after a restore of the store.
+    pub fn set_ordered_row(&mut self, table: &str, key: &'static str) {
+        let cached_table = self.tables.get_or_insert_with(table.into(), CachedTable::default);
+        cached_table.ordered_row = Some(key);
+    }
+
     /// Returns the rows of a table that went back with the store and were not written again in time,
     /// once after a restore. Rows of a former era are missing in the restored store.
     pub(crate) fn take_due(&mut self, now: Instant, table: &str) -> Vec<CompressedRow> {
--- a/crates/router/src/site_decoder.rs
+++ b/crates/router/src/site_decoder.rs
@@ -31,6 +31,8 @@
 
 /// Decodes the rows of a platform.
 pub trait SiteDecoder {
+    /// Key of the configuration's row, whose content states its version.
+    const CONFIG_KEY: &'static str;
     /// Table that operators write.
     const OPERATOR_TABLE: &'static str;
     /// Table in which targets register.
--- a/crates/router/tests/row_cache.rs
+++ b/crates/router/tests/row_cache.rs
@@ -3,7 +3,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use wagtailmoor_core::{Instant, RowVersion, SortedVec};
+use wagtailmoor_core::{Instant, RowVersion, SortedVec, StoreEra};
 use wagtailmoor_router::RowCache;
 use wagtailmoor_store::{CompressedPage, FeedPage, FeedRow};
 
@@ -118,3 +118,26 @@
         }
     }
 }
+
+// Guards against a configuration that operators write right after a restore of the store, and that
+// nodes hold back for seconds because the restored store issues lower numbers.
+#[test]
+fn a_row_that_states_its_order_is_not_held_back() {
+    let row = |era: u64, number: u64, key: &str| FeedRow {
+        key: key.into(),
+        version: RowVersion::in_era(StoreEra::new(era), number),
+        content: Some("content".into()),
+    };
+    let page = |era: u64, number: u64, rows: Vec<FeedRow>| {
+        let version = RowVersion::in_era(StoreEra::new(era), number);
+        CompressedPage::compress(FeedPage { rows, version, store_time: None })
+    };
+    let mut cache = RowCache::default();
+    cache.set_ordered_row(TABLE, "config");
+    let known = ["config", "other"].map(|key| row(0, 90, key));
+    assert_eq!(cache.merge(NOW, TABLE, page(0, 90, known.to_vec())).len(), 2);
+    let written_again = ["config", "other"].map(|key| row(1, 85, key));
+    let newer = cache.merge(NOW, TABLE, page(1, 86, written_again.to_vec()));
+    let keys: Vec<&str> = newer.iter().map(|row| &*row.key).collect();
+    assert_eq!(keys, ["config"]);
+}
