--- a/crates/router/src/change_source.rs
+++ b/crates/router/src/change_source.rs
@@ -160,7 +160,8 @@
 
     /// Returns whether there are other nodes that this one could call.
     pub(crate) fn has_other_nodes(&self) -> bool {
-        let mut others = self.nodes.iter().map(|node| node.address).chain(self.seeds.clone());
+        let nodes = self.nodes.iter().map(|node| node.address);
+        let mut others = nodes.chain(self.seeds.iter().copied());
         others.any(|address| address != self.own.address)
     }
 
--- a/crates/router/src/confirmation_wait.rs
+++ b/crates/router/src/confirmation_wait.rs
@@ -97,4 +97,5 @@
         .field("store_age_ms", state.replica.age(now).as_millis())
         .field("store_failures", state.replica.store_failures())
         .field("peer_failures", state.replica.source().peer_failures())
+        .optional("missing_row", state.replica.missing_row())
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -31,6 +31,7 @@
 mod ready_page;
 mod replica;
 mod replica_messages;
+mod replica_outcomes;
 mod replica_table;
 mod report_loop;
 mod restored_rows;
@@ -64,8 +65,9 @@
 };
 pub use peer_failure::PeerFailure;
 pub use peer_polling::{PeerPolling, PendingCall};
-pub use replica::{FeedAnswer, FeedFailure, PeerRows, Replica};
+pub use replica::Replica;
 pub use replica_messages::{KnownVersions, MissingRows, NewestRows};
+pub use replica_outcomes::{FeedAnswer, FeedFailure, PeerRows};
 pub use replica_table::ReplicaTable;
 pub use router::{Router, StartError, start};
 pub use row_cache::RowCache;
--- a/crates/router/src/replica.rs
+++ b/crates/router/src/replica.rs
@@ -9,6 +9,7 @@
 
 use crate::peer_polling::PendingCall;
 use crate::replica_messages::{KnownVersions, MissingRows, NewestRows};
+use crate::replica_outcomes::{FeedAnswer, FeedFailure, PeerRows};
 use crate::replica_table::ReplicaTable;
 use crate::table_feed::{DatedAnswer, FeedCall, TableFeed};
 use crate::{
@@ -86,45 +87,6 @@
     urgent_call_at: Instant,
 }
 
-/// What follows from an answer of the store.
-#[derive(Debug)]
-pub struct FeedAnswer {
-    /// Rows that take effect now.
-    pub rows: Vec<CompressedRow>,
-    /// The store's rows are complete up to this instant.
-    pub as_of: Instant,
-    /// Time until the next call.
-    pub pause: Duration,
-    /// Whether the store was unreachable before, and how old the data were then.
-    pub recovered_after: Option<Duration>,
-    /// Whether the data of this node are younger than before.
-    pub confirms: bool,
-    /// Whether the answer is older than what this node knew when it called, and confirms nothing.
-    pub is_outdated: bool,
-}
-
-/// What follows from a call of the store that failed.
-#[derive(Clone, Copy, Debug)]
-pub struct FeedFailure {
-    /// Time until the next call.
-    pub pause: Duration,
-    /// Whether this node can no longer relay changes to others.
-    pub stops_relaying: bool,
-    /// Whether the store counts as unreachable from now on.
-    pub store_lost: bool,
-}
-
-/// What follows from an answer of another node.
-#[derive(Debug)]
-pub struct PeerRows {
-    /// Rows of each table that take effect now, in the order of [`ReplicaTable::ALL`].
-    pub rows: [Vec<CompressedRow>; 3],
-    /// The rows are complete up to this instant.
-    pub as_of: Instant,
-    /// Whether the answering node follows the store, itself or through others.
-    pub confirms: bool,
-}
-
 impl Replica {
     /// Creates an empty copy of a node. It doesn't call the store at once if `synced_to` is recent.
     pub fn new(
@@ -212,6 +174,11 @@
         self.update_behind();
     }
 
+    /// Returns the version of a row that this node has heard of and lacks, if any.
+    pub fn missing_row(&self) -> Option<RowVersion> {
+        self.heard.iter().flatten().map(|(version, _)| *version).next()
+    }
+
     /// Forgets rows that this node lacked and has now.
     fn update_behind(&mut self) {
         for (index, table) in ReplicaTable::DECISIVE.into_iter().enumerate() {
