--- a/crates/router/src/confirmation_wait.rs
+++ b/crates/router/src/confirmation_wait.rs
@@ -40,17 +40,13 @@
         let confirmed = shared.data_confirmed.notified();
         let now = shared.now();
         let confirmation = shared.read().confirmation(now);
-        if confirmation == Confirmation::Current {
-            return Ok(confirmation);
-        }
         match confirmation {
             Confirmation::Pending if now >= deadline => return Err(NotConfirmed),
             // Whether the data were confirmed or not, the next turn decides.
             Confirmation::Pending => {
                 drop(timeout(deadline.saturating_since(now), confirmed).await);
             }
-            Confirmation::Unreachable => return Ok(confirmation),
-            Confirmation::Current => unreachable!("checked before"),
+            Confirmation::Current | Confirmation::Unreachable => return Ok(confirmation),
         }
     }
 }
--- a/crates/router/src/replica.rs
+++ b/crates/router/src/replica.rs
@@ -239,15 +239,8 @@
         let rows = self.rows.merge(now, table.cache_name(), page);
         self.update_behind();
         if is_outdated {
-            let (recovered_after, pause) = (None, RETRY_PAUSE_BASE);
-            return FeedAnswer {
-                rows,
-                as_of,
-                pause,
-                recovered_after,
-                confirms: false,
-                is_outdated,
-            };
+            let (pause, recovered_after, confirms) = (RETRY_PAUSE_BASE, None, false);
+            return FeedAnswer { rows, as_of, pause, recovered_after, confirms, is_outdated };
         }
         if recovered {
             self.store_down = None;
